--- /dev/null
+++ b/linenbridge/choice.py
@@ -0,0 +1,540 @@
+"""Every decision of a linenbridge gateway: read this file to know what it does.
+
+A host (today `linenbridge.wirehost`) builds one `Choice` per gateway, reports what happens through the
+`on_...` calls, then pulls `next_decision(now)` until None and wakes it again at `wake_at()`. The contract and
+the decision tuples are in `linenbridge/interface.py`; `linenbridge/state/` only keeps figures.
+Order of reading: tuned values, inputs, evidence, placing RPCs, the guards behind the rules, health, votes.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Iterator
+from math import exp, log
+from random import Random
+
+from linenbridge.interface import (
+    ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
+    ON_TRIAL, PICK, PUSH_BACK, RELEASED, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN, ListEntry,
+    Startup,
+)  # fmt: skip
+from linenbridge.state.counters import BuildRecord, CapBucket, DecayingRate
+from linenbridge.state.fleet import Fleet
+from linenbridge.state.rpcs import Pick, Rpc
+
+MS, SECOND = 1_000, 1_000_000
+
+# The design's test. Failures: p1 = p0 + 0.05 over a floor of 0.01. Slowness is the same sum over another bit.
+P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.05, 20
+SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS = 0.9, 0.3, 30
+LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 20.0, 0.5
+ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
+RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
+SEND_SHARE = 0.9
+RECORD_KEEP, RECORD_REFRESH = 200, 10
+
+# Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
+SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
+SHUN, SHUN_MOST = 500 * MS, 4 * SECOND
+FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, REPORT_LIFE = 0.15, 5 * SECOND, 0.05, 2 * SECOND
+
+# How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
+LIMIT_START, LIMIT_LEAST, LIMIT_MOST = 6.0, 1.0, 64.0
+LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.7, 0.5, 0.8
+COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
+LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
+
+SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
+RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 500 * MS, 300 * MS, 4 * SECOND
+TOOK_WEIGHT, TOOK_START = 0.05, 0.25
+
+
+class Choice:
+    """The decisions of one gateway."""
+
+    def __init__(self, start: Startup, seed: int, now: int) -> None:
+        self.plan, self.allow, self.methods = start.plan, start.allowances, start.methods
+        self.row = {method.name: m for m, method in enumerate(start.methods)}
+        self.tenant_shares = start.tenant_shares
+        self.random = Random(seed)
+        self.fleet = Fleet()
+        self.rpcs: dict[str, Rpc] = {}
+        self.waiting: list[Rpc] = []
+        self.giving_up: list[Rpc] = []
+        self.due: list[tuple[int, str]] = []
+        self.notes: deque[str] = deque()
+        self.passing: Iterator[tuple] | None = None
+        self.sweep_at = now
+        self.watch_at: int | None = now if self.allow.asks_for_list else None
+        self.watch_wait = LIST_RETRY
+        self.load = DecayingRate(LOAD_MEMORY)
+        self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
+        self.work = 0.0
+        self.took = [method.soft_deadline * TOOK_START for method in self.methods]
+        # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
+        self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
+        self.taken = [0] * (len(self.methods) + 1)
+        self.buckets: dict[tuple[int, int], CapBucket] = {}
+        self.moved_keys: set[int] = set()
+        # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
+        self.records: dict[tuple[int, int], BuildRecord] = {}
+        self.judged, self.outcomes, self.withdrawn = -1, 0, set()
+        self.sums: dict[tuple[int, str], float] = {}
+        self.alarms: set[tuple[int, str]] = set()
+        self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
+
+    # ---- inputs: they only update what is known --------------------------------------------------
+
+    def on_list(self, now: int, entries: list[ListEntry], *, whole: bool, answers: bool) -> None:
+        self.fleet.update(entries, whole, GAP_START, LIMIT_START)
+        if answers:
+            self.watch_wait = LIST_RETRY
+        builds = [self.fleet.build[i] for i in self.fleet.ready]
+        if builds:
+            self.lowest = min(builds) if self.lowest < 0 else min(self.lowest, *builds)
+            self._judge(max(builds))
+
+    def on_list_failed(self, now: int) -> None:
+        self.watch_at = now + int(self.watch_wait * self.random.uniform(0.5, 1.5))
+        self.watch_wait = min(2 * self.watch_wait, LIST_RETRY_MOST)
+
+    def on_rpc(
+        self, now: int, rpc: str, method: str, ttl: int, work: int | None, tenant: str, key: int | None
+    ) -> None:
+        m = self.row[method]
+        table, cost = self.methods[m], 1.0
+        if work:
+            self.work += (work - self.work) * (TOOK_WEIGHT if self.work else 1.0)
+            cost = work / self.work
+        utility = table.utility if self.allow.by_work else table.utility / self.took[m]
+        if self._over_share(now, tenant):
+            utility *= self.allow.over_share_utility
+        self.taken[m] += 1
+        self.taken[-1] += 1
+        self.load.add(now, cost)
+        end = now + ttl
+        taken = Rpc(rpc, m, now, min(now + table.soft_deadline, end), end, cost, utility, key)
+        self.rpcs[rpc] = taken
+        heapq.heappush(self.due, (max(now, end - LAST_MOMENT), rpc))
+        self.waiting.append(taken)
+
+    def _over_share(self, now: int, tenant: str) -> bool:
+        rate = self.tenant_rate.get(tenant)
+        if rate is None:
+            return False
+        rate.add(now, 1.0)
+        whole = sum(other.per_second(now) for other in self.tenant_rate.values())
+        return rate.per_second(now) > OVER_SHARE * self.tenant_shares[tenant] * whole
+
+    def on_gone(self, now: int, rpc: str) -> None:
+        if rpc in self.rpcs:
+            self._end(self.rpcs[rpc])
+
+    def on_stream(self, now: int, rpc: str, pick: int) -> None:
+        if rpc in self.rpcs:
+            self.rpcs[rpc].streaming = True
+
+    def on_reply(
+        self, now: int, rpc: str, pick: int, outcome: str, final: bool, took: int, load: dict[str, float]
+    ) -> None:
+        owner = self.rpcs.get(rpc)
+        if owner is None or pick >= len(owner.picks) or owner.picks[pick].outcome is not None:
+            return
+        sent = owner.picks[pick]
+        sent.outcome = outcome
+        self._note_health(now, sent, outcome, took, owner.method, load)
+        self._note_outcome(now, sent, outcome, took, owner)
+        if final or owner.ended:
+            self._end(owner)
+        elif not owner.out():
+            if outcome == TIMED_OUT and now >= owner.deadline - LAST_MOMENT:
+                self.giving_up.append(owner)
+            else:
+                self.waiting.append(owner)
+
+    def _end(self, rpc: Rpc) -> None:
+        rpc.ended = True
+        if not rpc.out():
+            self.rpcs.pop(rpc.id, None)
+
+    def on_stage(
+        self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool
+    ) -> None:
+        if vote:
+            self.vote_out = False
+            if not valid:
+                self.vote_at = now + int(self.vote_wait * self.random.uniform(0.5, 1.5))
+                self.vote_wait = min(2 * self.vote_wait, VOTE_RETRY_MOST)
+                self.cast = (-1, -1, NO_VOTE)
+        if not valid or build < self.build:
+            return
+        self.vote_wait = VOTE_RETRY
+        if (build, stage, phase) != (self.build, self.stage, self.phase):
+            self.notes.append(f"build {build} stage {stage} phase {phase} cap {cap:g}")
+        if build > self.build or phase not in (ON_TRIAL, RELEASED):
+            self.moved_keys.clear()
+        if phase not in (ON_TRIAL, RELEASED):
+            self.withdrawn.add(build)
+        for bucket in self.buckets.values():
+            bucket.settle(self.taken[bucket.row])
+        self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+        self._judge(build)
+
+    def on_tally(self, now: int, build: int, method: str, picks: int, failed: int, took: int) -> None:
+        """The platform's counts are everybody's outcomes, ours among them: not evidence of our own."""
+
+    def on_flag(self, now: int, instance: int, method: str) -> None:
+        i = self.fleet.index.get(instance)
+        if i is not None:
+            self._count(now, self.fleet.build[i], self.row[method], True)
+
+    # ---- evidence: the design's sum, over own outcomes -------------------------------------------
+
+    def _judge(self, build: int) -> None:
+        """A later build starts with clean sums."""
+        if build > self.judged:
+            self.judged, self.outcomes = build, 0
+            self.sums.clear()
+            self.alarms.clear()
+
+    def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
+        """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
+        throughout, tells of the instance: a crash, a cut or a slow machine is no fault of the build."""
+        silent = self.fleet.last_reply[pick.instance] < pick.sent
+        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent):
+            self._count(now, pick.build, rpc.method, outcome != OK)
+            if pick.build == self.judged:
+                self.outcomes += 1
+        if outcome == OK:
+            if self.plan.forward_only and rpc.key is not None and pick.build == self.build:
+                self.moved_keys.add(rpc.key)
+            self.took[rpc.method] += (took - self.took[rpc.method]) * TOOK_WEIGHT
+            if self._warmth(pick.instance, pick.sent) >= 1.0:
+                self._count_time(now, pick.build, rpc.method, took)
+
+    def _record(self, build: int, m: int) -> BuildRecord:
+        return self.records.setdefault((build, m), BuildRecord(RECORD_KEEP, RECORD_REFRESH))
+
+    def _earlier(self, m: int) -> BuildRecord | None:
+        """What is known of the build before the one judged."""
+        known = [b for b, row in self.records if row == m and b < self.judged and b not in self.withdrawn]
+        return self.records[max(known), m] if known else None
+
+    def _count(self, now: int, build: int, m: int, failed: bool) -> None:
+        if build != self.judged:
+            self._record(build, m).add(failed)
+            return
+        self._record(build, m).add(failed)
+        earlier = self._earlier(m)
+        p0 = P0_FLOOR
+        if earlier:
+            p0 = max(p0, (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR))
+        self._add(now, m, "failed", failed, min(p0, 0.9), P1_STEP)
+
+    def _count_time(self, now: int, build: int, m: int, took: int) -> None:
+        """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
+        times'. Cold instances are left out on both sides."""
+        if build == self.judged:
+            earlier = self._earlier(m)
+            if earlier and len(earlier.times.values) >= SLOW_NEEDS:
+                slow = took > earlier.times.quantile(SLOW_QUANTILE)
+                self._add(now, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
+        self._record(build, m).times.add(took)
+
+    def _add(self, now: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
+        """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level."""
+        p1 = p0 + step
+        up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
+        level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
+        key = (m, bit)
+        w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + (up if hit else down)
+        if w > level and key not in self.alarms:
+            self.alarms.add(key)
+            self._log_sum("alarm", key, w, level, p0)
+        elif w <= HOLD_LEVEL * level and key in self.alarms:
+            self.alarms.discard(key)
+            self._log_sum("clear", key, w, level, p0)
+
+    def _log_sum(self, what: str, key: tuple[int, str], w: float, level: float, p0: float) -> None:
+        where = f"{self.methods[key[0]].name} {key[1]} build {self.judged}"
+        self.notes.append(f"{what} {where} W {w:.1f} level {level:.1f} p0 {p0:.3f}")
+
+    # ---- decisions -------------------------------------------------------------------------------
+
+    def next_decision(self, now: int) -> tuple | None:
+        if self.passing is None:
+            self.passing = self._decide(now)
+        decision = next(self.passing, None)
+        if decision is None:
+            self.passing = None
+        return decision
+
+    def wake_at(self) -> int | None:
+        return min(self.sweep_at, self.due[0][0]) if self.due else self.sweep_at
+
+    def _decide(self, now: int) -> Iterator[tuple]:
+        if self.watch_at is not None and now >= self.watch_at:
+            self.watch_at = None
+            yield (WATCH,)
+        while self.due and self.due[0][0] <= now:
+            rpc = self.rpcs.get(heapq.heappop(self.due)[1])
+            if rpc and not rpc.ended and not rpc.streaming:
+                yield self._final(rpc)
+        if now >= self.sweep_at:
+            self.sweep_at = now + SWEEP
+            yield from self._doubt(now)
+        yield from self._place(now)
+        yield from self._ballot(now)
+        while self.notes:
+            yield (LOG, self.notes.popleft())
+
+    def _final(self, rpc: Rpc) -> tuple:
+        """Rules 1 and 2: the one final answer; a pushback only where a repeat is harmless."""
+        self._end(rpc)
+        method, ran = self.methods[rpc.method], rpc.first_that_may_have_run()
+        harmless = method.effect == IDEMPOTENT or (method.effect == TOKENED and method.group == "all")
+        if ran is None or harmless:
+            return PUSH_BACK, rpc.id, min(RETRY_AFTER, self.allow.retry_after_most)
+        return ABORT, rpc.id
+
+    def _place(self, now: int) -> Iterator[tuple]:
+        """Most utility first; what finds no room waits until its soft deadline is out of reach, no longer."""
+        for rpc in self.giving_up:
+            if not rpc.ended:
+                yield self._final(rpc)
+        self.giving_up.clear()
+        queue = [rpc for rpc in self.waiting if not rpc.ended]
+        queue.sort(key=lambda rpc: (-rpc.utility, rpc.arrived))
+        self.waiting = []
+        full: set[int] = set()
+        for rpc in queue:
+            if len(rpc.picks) >= self.allow.max_picks or not self._may_pick(now, rpc):
+                yield self._final(rpc)
+                continue
+            fresh = not rpc.picks
+            i = None if fresh and rpc.method in full else self._target(now, rpc)
+            if i is not None:
+                yield self._send(now, rpc, i)
+            elif now + self.took[rpc.method] / 2 > rpc.soft_deadline:
+                yield self._final(rpc)
+            else:
+                self.waiting.append(rpc)
+                if fresh:
+                    full.add(rpc.method)
+
+    def _send(self, now: int, rpc: Rpc, i: int) -> tuple:
+        fleet, build = self.fleet, self.fleet.build[i]
+        rpc.picks.append(Pick(i, build, now))
+        if not fleet.out[i]:
+            fleet.busy_since[i] = now
+        fleet.out[i] += 1
+        bucket = self._bucket(build, rpc.method)
+        if bucket:
+            bucket.tokens -= 1.0
+        if self._warmth(i, now) < 1.0:
+            fleet.cold_tokens[i] -= rpc.cost
+        return PICK, rpc.id, fleet.ids[i], max(1, rpc.deadline - now)
+
+    # ---- the guards behind the rules -------------------------------------------------------------
+
+    def _may_pick(self, now: int, rpc: Rpc) -> bool:
+        """Rule 2, asked before every pick: may this RPC go out (again) at all?"""
+        if rpc.streaming or (rpc.out() and not self.allow.second_copies):
+            return False
+        ran = rpc.first_that_may_have_run()
+        method = self.methods[rpc.method]
+        if ran is None or method.effect == IDEMPOTENT:
+            return True
+        return method.effect == TOKENED and now < ran.sent + method.token_window - SWEEP
+
+    def _in_group(self, rpc: Rpc, i: int) -> bool:
+        """Rule 2 for tokened RPCs: a repeat stays among the instances that drop it."""
+        ran = rpc.first_that_may_have_run()
+        method, fleet = self.methods[rpc.method], self.fleet
+        if ran is None or method.effect != TOKENED or method.group == "all":
+            return True
+        if method.group == "zone":
+            return fleet.zone[i] == fleet.zone[ran.instance]
+        return fleet.cell[i] == fleet.cell[ran.instance]
+
+    def _cap(self, build: int) -> tuple[float, int] | None:
+        """Rule 5: the cap and stage that bind picks at a build; None where nothing does."""
+        if build > self.build >= 0 or (self.build < 0 and build > self.lowest):
+            return self.plan.caps[0], 0
+        if build < self.build or self.build < 0 or self.phase == RELEASED:
+            return None
+        return self.cap, self.stage
+
+    def _bucket(self, build: int, m: int) -> CapBucket | None:
+        cap = self._cap(build)
+        if cap is None:
+            return None
+        row = m if self.plan.per_method else -1
+        bucket = self.buckets.get((build, row))
+        if bucket is None:
+            bucket = self.buckets[build, row] = CapBucket(self.plan.spare_picks, self.taken[row], row)
+        bucket.settle(self.taken[row])
+        # At a full cap no earlier instance may be left to take the tenth held back: the whole share is used.
+        bucket.share = cap[0] if cap[0] >= 1.0 else SEND_SHARE * cap[0]
+        return bucket
+
+    def _exposed(self, build: int, m: int) -> bool:
+        """Whether rule 5 lets one more RPC of the method go to the build now."""
+        cap = self._cap(build)
+        if cap is None:
+            return True
+        if cap[0] <= 0.0 or (cap[1] < self.plan.closed_stages and self.methods[m].effect != IDEMPOTENT):
+            return False
+        return self._bucket(build, m).tokens >= 1.0
+
+    def _warmth(self, i: int, now: int) -> float:
+        """The least share of its capacity that an instance has at that time."""
+        age, cold = now - self.fleet.started[i], self.allow.cold
+        if age >= cold:
+            return 1.0
+        return self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
+
+    def _cold_room(self, now: int, i: int, cost: float, fleet_size: float) -> bool:
+        """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
+        size and warmth give it, times a share of the allowed multiple; so all gateways together keep it."""
+        warmth, fleet = self._warmth(i, now), self.fleet
+        if warmth >= 1.0:
+            return True
+        part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / fleet_size
+        rate = part * self.load.per_second(now)
+        depth = max(1.0, rate * COLD_DEPTH / SECOND)
+        earned = rate * (now - fleet.cold_at[i]) / SECOND
+        fleet.cold_tokens[i], fleet.cold_at[i] = min(depth, fleet.cold_tokens[i] + earned), now
+        return fleet.cold_tokens[i] >= min(cost, depth)
+
+    # ---- choosing an instance --------------------------------------------------------------------
+
+    def _target(self, now: int, rpc: Rpc) -> int | None:
+        """Two random choices, by size, on what is in flight. Further picks keep off the instances tried
+        before and, where others can take them, off the build on trial."""
+        fleet, m = self.fleet, rpc.method
+        fleet_size = sum(fleet.size[i] for i in fleet.ready)
+        open_builds = {build: self._exposed(build, m) for build in {fleet.build[i] for i in fleet.ready}}
+        moved = self.plan.forward_only and rpc.key in self.moved_keys
+        allowed = [
+            i for i in fleet.ready
+            if open_builds[fleet.build[i]] and not (moved and fleet.build[i] < self.build)
+            and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost, fleet_size)
+        ]  # fmt: skip
+        sound = [i for i in allowed if fleet.shun_until[i] <= now]
+        room = [i for i in sound or allowed if self._has_room(i, rpc)]
+        if rpc.picks:
+            tried = {pick.instance for pick in rpc.picks}
+            room = [i for i in room if i not in tried] or room
+            room = [i for i in room if fleet.build[i] != self.judged] or room
+        if not room:
+            return None
+        sizes = [fleet.size[i] for i in room]
+        first, second = self.random.choices(room, sizes, k=2)
+        return first if self._crowding(first, now) <= self._crowding(second, now) else second
+
+    def _has_room(self, i: int, rpc: Rpc) -> bool:
+        """An instance back from a strike is tried with one RPC that may be repeated."""
+        if self.fleet.strikes[i]:
+            return self.fleet.out[i] == 0 and self.methods[rpc.method].effect != NON_IDEMPOTENT
+        return self.fleet.out[i] < self.fleet.limit[i]
+
+    def _crowding(self, i: int, now: int) -> float:
+        """In flight for its size and warmth; an instance that fails quickly must not look empty."""
+        fleet = self.fleet
+        others = fleet.others[i] if now - fleet.reported_at[i] < REPORT_LIFE else 0.0
+        failing = fleet.failing[i] * exp((fleet.last_reply[i] - now) / FAIL_MEMORY)
+        sound = max(FAIL_LEAST, 1 - failing)
+        return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now) * sound * sound)
+
+    # ---- health ----------------------------------------------------------------------------------
+
+    def _note_health(
+        self, now: int, pick: Pick, outcome: str, took: int, m: int, load: dict[str, float]
+    ) -> None:
+        fleet, i, soft = self.fleet, pick.instance, self.methods[m].soft_deadline
+        fleet.out[i] = max(0, fleet.out[i] - 1)
+        reported = load.get("in_flight", load.get("waiting"))
+        if reported is not None:
+            fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
+        if outcome in (UNREACHED, BROKEN, TIMED_OUT):
+            self._strike(now, i)
+        elif outcome in (OK, ERROR, FULL):
+            gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
+            fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
+            fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
+            fleet.failing[i] += ((outcome == ERROR) - fleet.failing[i]) * FAIL_WEIGHT
+        if outcome == OK and took < EARLY_SHARE * soft:
+            fleet.limit[i] = min(LIMIT_MOST, fleet.limit[i] + 1 / fleet.limit[i])
+        elif (outcome in (FULL, TIMED_OUT) or took > LATE_SHARE * soft) and pick.sent >= fleet.cut_at[i]:
+            fleet.limit[i] = max(LIMIT_LEAST, fleet.limit[i] * LIMIT_CUT)
+            fleet.cut_at[i] = now
+
+    def _strike(self, now: int, i: int) -> None:
+        fleet = self.fleet
+        if now >= fleet.shun_until[i]:
+            fleet.shun_until[i] = now + min(SHUN << fleet.strikes[i], SHUN_MOST)
+            fleet.strikes[i] = min(fleet.strikes[i] + 1, 8)
+            self.notes.append(f"shun {fleet.ids[i]} strikes {fleet.strikes[i]} out {fleet.out[i]}")
+
+    def _doubt(self, now: int) -> Iterator[tuple]:
+        """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
+        that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter."""
+        fleet, doubted = self.fleet, set()
+        for i in range(len(fleet.ids)):
+            if fleet.out[i] and now >= fleet.shun_until[i]:
+                silence = now - max(fleet.last_reply[i], fleet.busy_since[i])
+                if silence > SUSPECT * max(fleet.gap[i], SWEEP):
+                    self._strike(now, i)
+                    doubted.add(i)
+        if not doubted:
+            return
+        for rpc in list(self.rpcs.values()):
+            if rpc.ended or rpc.streaming or rpc.out() != 1 or now > rpc.soft_deadline:
+                continue
+            number, pick = next((n, pick) for n, pick in enumerate(rpc.picks) if pick.outcome is None)
+            method = self.methods[rpc.method]
+            if pick.instance not in doubted or pick.cancelled or len(rpc.picks) >= self.allow.max_picks:
+                continue
+            if method.effect == NON_IDEMPOTENT:
+                continue
+            if self.allow.second_copies:
+                target = self._target(now, rpc) if self._may_pick(now, rpc) else None
+                if target is not None and target != pick.instance:
+                    yield self._send(now, rpc, target)
+            elif self.allow.may_cancel:
+                pick.cancelled = True
+                yield CANCEL, rpc.id, number
+
+    # ---- votes -----------------------------------------------------------------------------------
+
+    def _wanted(self, now: int) -> int:
+        """The vote that the evidence asks for. A build with no earlier one known here is never judged:
+        nothing tells its failings from the day's."""
+        if self.build != self.judged or self.phase not in (ON_TRIAL, RELEASED) or self.lowest >= self.judged:
+            return NO_VOTE
+        if self.alarms:
+            return BACK
+        starts = [self.fleet.started[i] for i in self.fleet.ready if self.fleet.build[i] == self.judged]
+        if self.phase == RELEASED or not starts:
+            return NO_VOTE
+        quiet = all(w <= 0.0 for w in self.sums.values())
+        if self.outcomes >= ON_OUTCOMES or (now >= max(starts) + ON_WAIT and quiet):
+            return NO_VOTE if self.plan.by_timer else ON
+        return HOLD if self.plan.by_timer else NO_VOTE
+
+    def _ballot(self, now: int) -> Iterator[tuple]:
+        """One standing vote, renewed until the stage moves; withdrawn when nothing asks for it any more."""
+        wanted = (self.build, self.stage, self._wanted(now))
+        if self.vote_out or now < self.vote_at and (wanted == self.cast or self.vote_wait > VOTE_RETRY):
+            return
+        if wanted[2] == NO_VOTE and (self.cast[2] == NO_VOTE or self.cast[:2] != wanted[:2]):
+            return
+        if wanted != self.cast:
+            where = f"build {self.build} stage {self.stage}"
+            self.notes.append(f"vote {wanted[2]} {where} outcomes {self.outcomes}")
+        self.cast, self.vote_out = wanted, True
+        life = min(RENEW, int(self.plan.vote_stands * RENEW / (6 * SECOND)))
+        self.vote_at = now + (int(life * self.random.uniform(0.5, 1.0)) if wanted[2] == ON else life)
+        yield VOTE, wanted[0], wanted[1], wanted[2]
--- /dev/null
+++ b/linenbridge/state/__init__.py
@@ -0,0 +1,1 @@
+"""Bookkeeping for the decision module: what is known, never what to do."""
--- /dev/null
+++ b/linenbridge/wirehost/adapter.py
@@ -0,0 +1,233 @@
+"""Between the wire and the decisions: each event becomes a call, each decision a message."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+import msgspec
+
+from linenbridge import interface as face
+from linenbridge.choice import Choice
+from linenbridge.wirehost import messages as wire
+
+OUTCOMES = {
+    "S": face.OK, "E": face.ERROR, "F": face.FULL, "T": face.TIMED_OUT,
+    "C": face.UNREACHED, "R": face.BROKEN, "X": face.CANCELLED, "N": face.UNSENT,
+}  # fmt: skip
+EFFECTS = {"repeatable": face.IDEMPOTENT, "by_key": face.TOKENED, "once": face.NON_IDEMPOTENT}
+LOADS = {"rif": "in_flight", "q": "waiting", "busy": "busy", "lat_ms": "service_ms"}
+
+
+def micros(seconds: float) -> int:
+    return round(seconds * 1e6)
+
+
+def startup(info: wire.Info) -> face.Startup:
+    """The settings in the module's own words."""
+    plan, allow, rules = info.family_info, info.permissions, info.rules
+    return face.Startup(
+        zone=info.my_zone,
+        methods=tuple(
+            face.Method(
+                name=row.name,
+                effect=EFFECTS[row.idempotency],
+                group=row.group,
+                token_window=micros(row.window),
+                soft_deadline=micros(row.aim),
+                utility=row.worth,
+                late_utility=row.late_worth,
+            )
+            for row in info.profiles
+        ),
+        tenant_shares={tenant.name: tenant.share for tenant in info.tenants},
+        plan=face.RolloutPlan(
+            by_timer=plan.gate_mode == "timer",
+            caps=tuple(plan.caps),
+            closed_stages=plan.closed_stages,
+            per_method=plan.per == "class",
+            spare_picks=plan.spare_tries,
+            forward_only=plan.forward_only,
+            vote_stands=micros(plan.vote_stands),
+        ),
+        allowances=face.Allowances(
+            max_picks=allow.max_attempts,
+            second_copies=allow.second_copies,
+            may_cancel=allow.may_cancel,
+            retry_after_most=micros(allow.max_retry_after) if allow.retry_after else 0,
+            asks_for_list=info.discovery == "ask",
+            cold_from=rules.cold_from,
+            cold=micros(rules.cold),
+            fall_multiple=rules.fall_multiple,
+            zone_charge=info.charges.get("cross_zone", 0.0),
+            by_work=info.value_by == "work",
+            over_share_utility=info.over_share_worth,
+        ),
+    )
+
+
+class Host:
+    """The gateways of one process; nothing is shared between them but the numbered lists."""
+
+    def __init__(self) -> None:
+        self.lists: dict[int, list[face.ListEntry]] = {}
+        self.gateways: dict[int, Choice] = {}
+        self.armed: dict[int, int] = {}
+        self.now = 0
+        self.handlers: dict[str, Callable[[Choice, Any], None]] = {
+            "announce": self.announce, "new_request": self.new_request, "expired": self.expired,
+            "release_state": self.release_state, "metrics": self.metrics, "first": self.first,
+            "reply": self.reply, "objection": self.objection, "elapsed": self.elapsed,
+            "inbox": self.unused, "checked": self.unused,
+        }  # fmt: skip
+
+    def batch(self, batch: wire.Batch) -> list[dict[str, Any]]:
+        """Take in all events in their order, then pull what each gateway that had one decides."""
+        self.now = micros(batch.clock)
+        touched: dict[int, None] = {}
+        failed: dict[int, str] = {}
+        for event in batch.news:
+            name, message = event.only()
+            if name == "roster":
+                self.lists[message.bank] = [entry(row) for row in message.rows]
+                continue
+            gateway_id = message.gateway_id
+            if name == "down":
+                self.forget(gateway_id)
+                touched.pop(gateway_id, None)
+                continue
+            touched[gateway_id] = None
+            if gateway_id not in failed:
+                try:
+                    self.take(name, message)
+                except Exception as error:
+                    failed[gateway_id] = f"{name}: {type(error).__name__}: {error}"
+        steps: list[dict[str, Any]] = []
+        for gateway_id in touched:
+            if gateway_id not in failed:
+                try:
+                    self.pull(gateway_id, steps)
+                except Exception as error:
+                    failed[gateway_id] = f"deciding: {type(error).__name__}: {error}"
+            if gateway_id in failed:
+                steps.append({"internal_error": {"gateway_id": gateway_id, "what": failed[gateway_id]}})
+        return steps
+
+    def forget(self, gateway_id: int) -> None:
+        self.gateways.pop(gateway_id, None)
+        self.armed.pop(gateway_id, None)
+
+    def take(self, name: str, message: Any) -> None:
+        if name == "attach":
+            self.forget(message.gateway_id)
+            self.gateways[message.gateway_id] = Choice(startup(message.info), message.random_seed, self.now)
+            return
+        gateway = self.gateways.get(message.gateway_id)
+        if gateway is None:
+            raise ValueError(f"gateway_id {message.gateway_id} was never attached")
+        profile = getattr(message, "profile", None)
+        if profile is not None and profile not in gateway.row:
+            raise ValueError(f"profile {profile!r} is not among the settings")
+        self.handlers[name](gateway, message)
+
+    def announce(self, gateway: Choice, message: wire.Announce) -> None:
+        if message.form == 3:
+            gateway.on_list_failed(self.now)
+            return
+        if message.bank not in self.lists:
+            raise ValueError(f"bank {message.bank} names no roster")
+        entries = self.lists[message.bank]
+        gateway.on_list(self.now, entries, whole=message.form != 2, answers=message.form != 0)
+
+    def new_request(self, gateway: Choice, message: wire.NewRequest) -> None:
+        work = None if message.estimate is None else micros(message.estimate)
+        ttl, tenant = micros(message.ttl), str(message.realm)
+        gateway.on_rpc(self.now, message.handle, message.profile, ttl, work, tenant, message.subject)
+
+    def expired(self, gateway: Choice, message: wire.Expired) -> None:
+        gateway.on_gone(self.now, message.handle)
+
+    def release_state(self, gateway: Choice, message: wire.ReleaseState) -> None:
+        gateway.on_stage(
+            self.now, message.rel, message.wave, message.course, message.limit_share,
+            vote=message.code == 1, valid=message.outcome == "S",
+        )  # fmt: skip
+
+    def metrics(self, gateway: Choice, message: wire.Metrics) -> None:
+        took = micros(message.delay_seen)
+        gateway.on_tally(self.now, message.rel, message.profile, message.n, message.lost, took)
+
+    def first(self, gateway: Choice, message: wire.First) -> None:
+        gateway.on_stream(self.now, message.handle, message.hop)
+
+    def reply(self, gateway: Choice, message: wire.Reply) -> None:
+        load = {LOADS[name]: value for name, value in message.feedback.items() if name in LOADS}
+        outcome, took = OUTCOMES[message.outcome], micros(message.delay_seen)
+        gateway.on_reply(self.now, message.handle, message.hop, outcome, message.final, took, load)
+
+    def objection(self, gateway: Choice, message: wire.Objection) -> None:
+        gateway.on_flag(self.now, message.instance, message.profile)
+
+    def elapsed(self, gateway: Choice, message: wire.Elapsed) -> None:
+        if message.mark == str(self.armed.get(message.gateway_id)):
+            del self.armed[message.gateway_id]
+
+    def unused(self, gateway: Choice, message: Any) -> None:
+        """Peers' words and probe results: this gateway sends neither, so nothing hangs on them."""
+
+    def pull(self, gateway_id: int, steps: list[dict[str, Any]]) -> None:
+        gateway = self.gateways[gateway_id]
+        while (decision := gateway.next_decision(self.now)) is not None:
+            steps.append(step(gateway_id, decision))
+        wake, armed = gateway.wake_at(), self.armed.get(gateway_id)
+        if wake is not None and (armed is None or wake < armed):
+            self.armed[gateway_id] = wake
+            span = max(0, wake - self.now) / 1e6
+            steps.append({"arm": {"gateway_id": gateway_id, "span": span, "mark": str(wake)}})
+
+
+def entry(row: wire.Row) -> face.ListEntry:
+    started = micros(row.since) if row.since else -(10**12)
+    return face.ListEntry(
+        row.instance, row.edition, row.rack_zone, row.block, row.health, row.power_hint, started
+    )
+
+
+def step(gateway_id: int, decision: tuple) -> dict[str, Any]:
+    """One decision as one message."""
+    match decision:
+        case (face.PICK, rpc, instance, time_out):
+            fields = {"handle": rpc, "instance": instance, "give_up_after": time_out / 1e6}
+            name = "issue"
+        case (face.CANCEL, rpc, number):
+            name, fields = "revoke", {"handle": rpc, "hop": number}
+        case (face.PUSH_BACK, rpc, retry_after):
+            name, fields = "say_no", {"handle": rpc, "retry_in": retry_after / 1e6}
+        case (face.ABORT, rpc):
+            name, fields = "abort", {"handle": rpc}
+        case (face.VOTE, build, stage, verdict):
+            name, fields = "ballot", {"rel": build, "wave": stage, "code": verdict}
+        case (face.WATCH,):
+            name, fields = "listen", {"active": True}
+        case (face.LOG, text):
+            name, fields = "trace", {"what": text}
+        case _:
+            raise ValueError(f"no message for the decision {decision!r}")
+    return {name: {"gateway_id": gateway_id, **fields}}
+
+
+def serve(lines: BinaryIO, replies: BinaryIO) -> int:
+    """Answer batch after batch until the end of input; what cannot be read ends with a plain message."""
+    host, decoder = Host(), msgspec.json.Decoder(wire.Batch)
+    for line in lines:
+        if not line.strip():
+            continue
+        try:
+            steps = host.batch(decoder.decode(line))
+        except (msgspec.DecodeError, ValueError) as error:
+            print(f"linenbridge.wirehost: cannot read the batch: {error}", file=sys.stderr)
+            return 2
+        replies.write(msgspec.json.encode({"steps": steps}) + b"\n")
+        replies.flush()
+    return 0
--- /dev/null
+++ b/linenbridge/wirehost/messages.py
@@ -0,0 +1,194 @@
+"""The wire's messages as msgspec types: what is malformed fails here with the name of the field."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+from msgspec import Struct
+
+
+class Info(Struct):
+    """The settings; nested tables are read by `startup`."""
+
+    balancers: int
+    my_zone: str
+    discovery: Literal["push", "ask"]
+    profiles: list[Profile]
+    family_info: Family
+    permissions: Permissions
+    rules: Rules
+    charges: dict[str, float]
+    tenants: list[Tenant] = []
+    value_by: str = "request"
+    over_share_worth: float = 1.0
+
+
+class Profile(Struct):
+    name: str
+    aim: float
+    give_up: float
+    worth: float
+    idempotency: Literal["repeatable", "by_key", "once"]
+    group: Literal["all", "zone", "cell"] = "all"
+    window: float = 0.0
+    late_worth: float = 0.0
+
+
+class Tenant(Struct):
+    name: str
+    share: float
+
+
+class Family(Struct):
+    gate_mode: Literal["any", "share", "timer"]
+    caps: list[float]
+    closed_stages: int
+    per: Literal["all", "class"]
+    spare_tries: float
+    forward_only: bool
+    vote_stands: float
+
+
+class Permissions(Struct):
+    max_attempts: int
+    second_copies: bool
+    may_cancel: bool
+    retry_after: bool
+    max_retry_after: float
+
+
+class Rules(Struct):
+    cold_from: float
+    cold: float
+    fall_multiple: float
+
+
+class Row(Struct):
+    instance: int
+    edition: int
+    health: Literal[0, 1, 2]
+    rack_zone: str = ""
+    block: int = 0
+    power_hint: float = 1.0
+    since: float = 0.0
+
+
+class Roster(Struct):
+    bank: int
+    rows: list[Row]
+
+
+class Attach(Struct):
+    gateway_id: int
+    random_seed: int
+    info: Info
+
+
+class Announce(Struct):
+    gateway_id: int
+    form: Literal[0, 1, 2, 3]
+    bank: int = -1
+
+
+class NewRequest(Struct):
+    gateway_id: int
+    handle: str
+    ttl: float
+    profile: str
+    realm: str | int = ""
+    estimate: float | None = None
+    subject: int | None = None
+
+
+class Expired(Struct):
+    gateway_id: int
+    handle: str
+
+
+class ReleaseState(Struct):
+    gateway_id: int
+    outcome: Literal["S", "N", "F", "E", "T"]
+    code: int = 0
+    rel: int = 0
+    wave: int = 0
+    course: Literal[0, 1, 2, 3] = 0
+    limit_share: float = 0.0
+
+
+class Metrics(Struct):
+    gateway_id: int
+    rel: int
+    profile: str
+    n: int = 0
+    lost: int = 0
+    delay_seen: float = 0.0
+
+
+class Down(Struct):
+    gateway_id: int
+
+
+class First(Struct):
+    gateway_id: int
+    handle: str
+    hop: int = 0
+
+
+class Reply(Struct):
+    gateway_id: int
+    handle: str
+    outcome: Literal["S", "E", "F", "T", "C", "R", "X", "N"]
+    hop: int = 0
+    final: bool = False
+    delay_seen: float = 0.0
+    feedback: dict[str, float] = {}
+
+
+class Inbox(Struct):
+    gateway_id: int
+
+
+class Checked(Struct):
+    gateway_id: int
+
+
+class Objection(Struct):
+    gateway_id: int
+    instance: int
+    profile: str
+
+
+class Elapsed(Struct):
+    gateway_id: int
+    mark: str
+
+
+class News(Struct, forbid_unknown_fields=True):
+    """One event; exactly one of these is given."""
+
+    attach: Attach | None = None
+    roster: Roster | None = None
+    announce: Announce | None = None
+    new_request: NewRequest | None = None
+    expired: Expired | None = None
+    release_state: ReleaseState | None = None
+    metrics: Metrics | None = None
+    down: Down | None = None
+    first: First | None = None
+    reply: Reply | None = None
+    inbox: Inbox | None = None
+    checked: Checked | None = None
+    objection: Objection | None = None
+    elapsed: Elapsed | None = None
+
+    def only(self) -> tuple[str, Any]:
+        given = [(name, getattr(self, name)) for name in self.__struct_fields__]
+        given = [pair for pair in given if pair[1] is not None]
+        if len(given) != 1:
+            raise ValueError(f"an event must hold exactly one message, this one holds {len(given)}")
+        return given[0]
+
+
+class Batch(Struct):
+    clock: float
+    news: list[News]
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,81 @@
+"""Plain cases of the decision module alone."""
+
+from __future__ import annotations
+
+from linenbridge import interface as face
+from linenbridge.choice import ON_OUTCOMES, SECOND, Choice
+from tests.helpers import MS, entry, pull, running, startup
+
+
+def outcome(gateway: Choice, now: int, name: str, result: str, method: str = "look") -> int:
+    """Send one RPC and let its first pick end; returns the build that it went to."""
+    gateway.on_rpc(now, name, method, 4 * SECOND, None, "", None)
+    pick = next(d for d in pull(gateway, now) if d[0] == face.PICK and d[1] == name)
+    gateway.on_reply(now + MS, name, 0, result, result == face.OK, MS, {})
+    gateway.on_gone(now + MS, name)
+    return gateway.fleet.build[gateway.fleet.index[pick[2]]]
+
+
+def fail_trial(gateway: Choice, now: int, count: int, result: str = face.ERROR) -> int:
+    """RPCs that fail at build 2 only, until `count` of them did."""
+    failures = n = 0
+    while failures < count:
+        now, n = now + 10 * MS, n + 1
+        gateway.on_rpc(now, f"f{now}", "look", 4 * SECOND, None, "", None)
+        pick = next(d for d in pull(gateway, now) if d[0] == face.PICK and d[1] == f"f{now}")
+        bad = pick[2] == 4
+        gateway.on_reply(now + MS, f"f{now}", 0, result if bad else face.OK, not bad, MS, {})
+        gateway.on_gone(now + MS, f"f{now}")
+        failures += bad
+    return now
+
+
+def test_failures_at_the_trial_raise_a_standing_back_vote():
+    gateway = running()
+    now = fail_trial(gateway, 0, 5)
+    gateway.on_stage(now, 2, 1, face.ON_TRIAL, 1.0, vote=True, valid=True)
+    pull(gateway, now + 2 * MS)
+    assert gateway.cast == (2, 1, face.BACK)
+    gateway.on_stage(now, 2, 1, face.ON_TRIAL, 1.0, vote=True, valid=True)
+    later = [d for step in range(100) for d in pull(gateway, now + step * 50 * MS) if d[0] == face.VOTE]
+    assert (face.VOTE, 2, 1, face.BACK) in later
+
+
+def test_outcomes_that_prove_no_run_say_nothing_of_the_build():
+    gateway = running()
+    for n in range(200):
+        outcome(gateway, n * 10 * MS, f"r{n}", face.UNREACHED if n % 3 == 0 else face.OK)
+    assert not gateway.alarms and all(w <= 0 for w in gateway.sums.values())
+
+
+def test_on_after_enough_clean_outcomes():
+    gateway = running()
+    now = 0
+    while gateway.outcomes < ON_OUTCOMES:
+        now += 10 * MS
+        outcome(gateway, now, f"r{now}", face.OK)
+    pull(gateway, now + MS)
+    assert gateway.cast == (2, 1, face.ON)
+
+
+def test_nothing_goes_to_a_draining_instance():
+    gateway = running()
+    gateway.on_list(1, [entry(2, state=face.DRAINING)], whole=False, answers=True)
+    for n in range(100):
+        gateway.on_rpc(n, f"r{n}", "look", 4 * SECOND, None, "", None)
+        assert all(d[2] != 2 for d in pull(gateway, n) if d[0] == face.PICK)
+
+
+def test_a_non_idempotent_rpc_that_may_have_run_is_aborted_not_repeated():
+    gateway = running()
+    gateway.on_rpc(0, "r", "charge", 4 * SECOND, None, "", None)
+    assert pull(gateway, 0)[0][0] == face.PICK
+    gateway.on_reply(MS, "r", 0, face.ERROR, False, MS, {})
+    assert pull(gateway, MS) == [(face.ABORT, "r")]
+
+
+def test_a_failed_list_call_is_made_again():
+    gateway = Choice(startup(asks_for_list=True), seed=1, now=0)
+    assert (face.WATCH,) in pull(gateway, 0)
+    gateway.on_list_failed(10)
+    assert (face.WATCH,) in pull(gateway, SECOND)
