Take the slow bit only against fresh earlier times, with a higher p1

Cause: the slow bit drifted up on good builds when the hour grew slower after the earlier build had gone. Also covers: in-place fleets that are all cold at once. Might hurt: a build that turns slow after release.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -27,8 +27,8 @@
 
 # The design's test. Failures: p1 = p0 + 0.05 over a floor of 0.01. Slowness is the same sum over another bit.
 P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.05, 20
-SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS = 0.9, 0.3, 30
-LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 20.0, 0.5
+SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS, SLOW_FRESH = 0.9, 0.5, 30, 5 * SECOND
+LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
@@ -46,7 +46,7 @@
 LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
 
 SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
-RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 500 * MS, 300 * MS, 4 * SECOND
+RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
 TOOK_WEIGHT, TOOK_START = 0.05, 0.25
 
 
@@ -210,8 +210,7 @@
             if self.plan.forward_only and rpc.key is not None and pick.build == self.build:
                 self.moved_keys.add(rpc.key)
             self.took[rpc.method] += (took - self.took[rpc.method]) * TOOK_WEIGHT
-            if self._warmth(pick.instance, pick.sent) >= 1.0:
-                self._count_time(now, pick.build, rpc.method, took)
+            self._count_time(now, pick, rpc.method, took)
 
     def _record(self, build: int, m: int) -> BuildRecord:
         return self.records.setdefault((build, m), BuildRecord(RECORD_KEEP, RECORD_REFRESH))
@@ -222,25 +221,29 @@
         return self.records[max(known), m] if known else None
 
     def _count(self, now: int, build: int, m: int, failed: bool) -> None:
-        if build != self.judged:
-            self._record(build, m).add(failed)
-            return
         self._record(build, m).add(failed)
+        if build != self.judged or self.lowest >= build:
+            return
         earlier = self._earlier(m)
         p0 = P0_FLOOR
         if earlier:
             p0 = max(p0, (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR))
         self._add(now, m, "failed", failed, min(p0, 0.9), P1_STEP)
 
-    def _count_time(self, now: int, build: int, m: int, took: int) -> None:
+    def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
-        times'. Cold instances are left out on both sides."""
-        if build == self.judged:
+        times'. A cold instance's times are held to what its least warmth would give it. Once the earlier
+        build answers no more, nothing tells a slow build from a slow hour, and the bit is not taken."""
+        warmth = self._warmth(pick.instance, pick.sent)
+        if pick.build == self.judged:
             earlier = self._earlier(m)
-            if earlier and len(earlier.times.values) >= SLOW_NEEDS:
-                slow = took > earlier.times.quantile(SLOW_QUANTILE)
+            if earlier and len(earlier.times.values) >= SLOW_NEEDS and now < earlier.last + SLOW_FRESH:
+                slow = took * warmth > earlier.times.quantile(SLOW_QUANTILE)
                 self._add(now, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
-        self._record(build, m).times.add(took)
+        if warmth >= 1.0:
+            record = self._record(pick.build, m)
+            record.times.add(took)
+            record.last = now
 
     def _add(self, now: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
         """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level."""
