Let the open-RPC limit start low and grow only when it is used

Cause: the limit grew on every early answer, used or not, so a burst queued seconds of work at the servers. Might hurt: a gateway whose traffic jumps waits a few answers for room.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -40,7 +40,7 @@
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, REPORT_LIFE = 0.15, 5 * SECOND, 0.05, 2 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
-LIMIT_START, LIMIT_LEAST, LIMIT_MOST = 6.0, 1.0, 64.0
+LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.7, 0.5, 0.8
 COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
 LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
@@ -319,7 +319,7 @@
             i = None if fresh and rpc.method in full else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
-            elif now + self.took[rpc.method] / 2 > rpc.soft_deadline:
+            elif now + self.took[rpc.method] > rpc.soft_deadline:
                 yield self._final(rpc)
             else:
                 self.waiting.append(rpc)
@@ -468,7 +468,8 @@
             fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
             fleet.failing[i] += ((outcome == ERROR) - fleet.failing[i]) * FAIL_WEIGHT
-        if outcome == OK and took < EARLY_SHARE * soft:
+        used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
+        if outcome == OK and took < EARLY_SHARE * soft and used:
             fleet.limit[i] = min(LIMIT_MOST, fleet.limit[i] + 1 / fleet.limit[i])
         elif (outcome in (FULL, TIMED_OUT) or took > LATE_SHARE * soft) and pick.sent >= fleet.cut_at[i]:
             fleet.limit[i] = max(LIMIT_LEAST, fleet.limit[i] * LIMIT_CUT)
