--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -148,7 +148,7 @@
         if final or owner.ended:
             self._end(owner)
         elif not owner.out():
-            if outcome == TIMED_OUT and now >= owner.soft_deadline:
+            if outcome == TIMED_OUT and now >= owner.deadline - LAST_MOMENT:
                 self.giving_up.append(owner)
             else:
                 self.waiting.append(owner)
@@ -337,9 +337,7 @@
             bucket.tokens -= 1.0
         if self._warmth(i, now) < 1.0:
             fleet.cold_tokens[i] -= rpc.cost
-        # Past its soft deadline a pick is worth nothing unless late answers are: it should not be begun then.
-        end = rpc.deadline if self.methods[rpc.method].late_utility > 0 else rpc.soft_deadline
-        return PICK, rpc.id, fleet.ids[i], max(1, (end if end > now else rpc.deadline) - now)
+        return PICK, rpc.id, fleet.ids[i], max(1, rpc.deadline - now)
 
     # ---- the guards behind the rules -------------------------------------------------------------
 
@@ -463,7 +461,7 @@
         reported = load.get("in_flight", load.get("waiting"))
         if reported is not None:
             fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
-        if outcome in (UNREACHED, BROKEN) or (outcome == TIMED_OUT and fleet.last_reply[i] < pick.sent):
+        if outcome in (UNREACHED, BROKEN, TIMED_OUT):
             self._strike(now, i)
         elif outcome in (OK, ERROR, FULL):
             gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
