--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -461,9 +461,10 @@
         reported = load.get("in_flight", load.get("waiting"))
         if reported is not None:
             fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
-        if outcome in (UNREACHED, BROKEN, TIMED_OUT):
+        if outcome in (UNREACHED, BROKEN, TIMED_OUT, FULL):
+            # FULL too: one that drains before the list says so turns all away at once and would look empty.
             self._strike(now, i)
-        elif outcome in (OK, ERROR, FULL):
+        elif outcome in (OK, ERROR):
             gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
             fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
