Cut the open-RPC limit earlier, by the strictest soft deadline, heavy RPCs excused

Cause: methods with a long soft deadline kept a standing queue in which those with a short one came late. Might hurt: methods of long service times grow the limit slowly.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -41,7 +41,7 @@
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
-LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.7, 0.5, 0.8
+LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.5, 0.35, 0.8
 COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
 LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
 
@@ -72,6 +72,7 @@
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
+        self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
         self.taken = [0] * (len(self.methods) + 1)
@@ -143,7 +144,7 @@
             return
         sent = owner.picks[pick]
         sent.outcome = outcome
-        self._note_health(now, sent, outcome, took, owner.method, load)
+        self._note_health(now, sent, outcome, took, owner, load)
         self._note_outcome(now, sent, outcome, took, owner)
         if final or owner.ended:
             self._end(owner)
@@ -454,9 +455,9 @@
     # ---- health ----------------------------------------------------------------------------------
 
     def _note_health(
-        self, now: int, pick: Pick, outcome: str, took: int, m: int, load: dict[str, float]
+        self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc, load: dict[str, float]
     ) -> None:
-        fleet, i, soft = self.fleet, pick.instance, self.methods[m].soft_deadline
+        fleet, i, soft = self.fleet, pick.instance, self.strictest * max(1.0, rpc.cost)
         fleet.out[i] = max(0, fleet.out[i] - 1)
         reported = load.get("in_flight", load.get("waiting"))
         if reported is not None:
