Cut the open-RPC limit at 0.4 of the strictest soft deadline; leave failing instances alone

Cause: queues still stood at half the soft deadline under overload. Might hurt: a build that fails most of one method loses all its traffic; small fleets of slow servers hold RPCs longer.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -37,11 +37,12 @@
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST = 500 * MS, 4 * SECOND
-FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, REPORT_LIFE = 0.15, 5 * SECOND, 0.05, 2 * SECOND
+FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
+REPORT_LIFE = 2 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
-LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.5, 0.35, 0.8
+LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
 COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
 LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
 
@@ -426,7 +427,7 @@
             if open_builds[fleet.build[i]] and not (moved and fleet.build[i] < self.build)
             and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost, fleet_size)
         ]  # fmt: skip
-        sound = [i for i in allowed if fleet.shun_until[i] <= now]
+        sound = [i for i in allowed if fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST]
         room = [i for i in sound or allowed if self._has_room(i, rpc)]
         if rpc.picks:
             tried = {pick.instance for pick in rpc.picks}
@@ -448,10 +449,13 @@
         """In flight for its size and warmth; an instance that fails quickly must not look empty."""
         fleet = self.fleet
         others = fleet.others[i] if now - fleet.reported_at[i] < REPORT_LIFE else 0.0
-        failing = fleet.failing[i] * exp((fleet.last_reply[i] - now) / FAIL_MEMORY)
-        sound = max(FAIL_LEAST, 1 - failing)
+        sound = max(FAIL_LEAST, 1 - self._failing(i, now))
         return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now) * sound * sound)
 
+    def _failing(self, i: int, now: int) -> float:
+        """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
+        return self.fleet.failing[i] * exp((self.fleet.last_reply[i] - now) / FAIL_MEMORY)
+
     # ---- health ----------------------------------------------------------------------------------
 
     def _note_health(
