Count time-outs and slowness only while the earlier build still answers

Cause: in place, the last stage leaves no earlier instance; a cut or crowded hour then read as a bad build. Told from a bad build by the log: alarms came only after the last earlier drain, on all methods at once. Covers any trouble that strikes after release. Might hurt: a build that turns slow, without errors, after release.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -27,7 +27,7 @@
 
 # The design's test. Failures: p1 = p0 + 0.15 over a floor of 0.01. Slowness is the same sum over another bit.
 P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
-SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS, SLOW_FRESH = 0.9, 0.5, 30, 5 * SECOND
+SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS, FRESH = 0.9, 0.5, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
@@ -36,7 +36,7 @@
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
-SHUN, SHUN_MOST = 500 * MS, 4 * SECOND
+SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
 REPORT_LIFE = 2 * SECOND
 
@@ -81,7 +81,7 @@
         self.moved_keys: set[int] = set()
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
-        self.judged, self.outcomes, self.withdrawn = -1, 0, set()
+        self.judged, self.outcomes, self.earlier_at, self.withdrawn = -1, 0, -FRESH, set()
         self.sums: dict[tuple[int, str], float] = {}
         self.alarms: set[tuple[int, str]] = set()
         self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
@@ -204,7 +204,9 @@
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
         throughout, tells of the instance: a crash, a cut or a slow machine is no fault of the build."""
         silent = self.fleet.last_reply[pick.instance] < pick.sent
-        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent):
+        if outcome == OK and pick.build < self.judged:
+            self.earlier_at = now
+        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._fresh(now, pick.build)):
             self._count(now, pick.build, rpc.method, outcome != OK)
             if pick.build == self.judged:
                 self.outcomes += 1
@@ -234,18 +236,19 @@
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
-        times'. A cold instance's times are held to what its least warmth would give it. Once the earlier
-        build answers no more, nothing tells a slow build from a slow hour, and the bit is not taken."""
+        times'. A cold instance's times are held to what its least warmth would give it."""
         warmth = self._warmth(pick.instance, pick.sent)
         if pick.build == self.judged:
             earlier = self._earlier(m)
-            if earlier and len(earlier.times.values) >= SLOW_NEEDS and now < earlier.last + SLOW_FRESH:
+            if earlier and len(earlier.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
                 slow = took * warmth > earlier.times.quantile(SLOW_QUANTILE)
                 self._add(now, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
         if warmth >= 1.0:
-            record = self._record(pick.build, m)
-            record.times.add(took)
-            record.last = now
+            self._record(pick.build, m).times.add(took)
+
+    def _fresh(self, now: int, build: int) -> bool:
+        """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
+        return build < self.judged or now < self.earlier_at + FRESH
 
     def _add(self, now: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
         """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level."""
@@ -486,7 +489,8 @@
         if now >= fleet.shun_until[i]:
             fleet.shun_until[i] = now + min(SHUN << fleet.strikes[i], SHUN_MOST)
             fleet.strikes[i] = min(fleet.strikes[i] + 1, 8)
-            self.notes.append(f"shun {fleet.ids[i]} strikes {fleet.strikes[i]} out {fleet.out[i]}")
+            if fleet.strikes[i] == LOG_STRIKES:
+                self.notes.append(f"shun {fleet.ids[i]} gap {fleet.gap[i] / MS:.0f} ms out {fleet.out[i]}")
 
     def _doubt(self, now: int) -> Iterator[tuple]:
         """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -53,7 +53,7 @@
     """What this gateway's own RPCs of one method met at one build."""
 
     def __init__(self, keep: int, refresh: int) -> None:
-        self.outcomes, self.failed, self.last = 0.0, 0.0, 0
+        self.outcomes, self.failed = 0.0, 0.0
         self.times = Recent(keep, refresh)
         self.memory = keep
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -79,3 +79,29 @@
     assert (face.WATCH,) in pull(gateway, 0)
     gateway.on_list_failed(10)
     assert (face.WATCH,) in pull(gateway, SECOND)
+
+
+def test_time_outs_after_the_earlier_build_has_gone_are_the_hours_not_the_builds():
+    gateway = running()
+    now = fail_trial(gateway, 0, 1, face.OK)
+    gateway.on_list(now, [entry(4, build=2)], whole=True, answers=True)
+    for n in range(20):
+        now += SECOND
+        gateway.on_rpc(now, f"t{n}", "look", 4 * SECOND, None, "", None)
+        gateway.on_rpc(now, f"u{n}", "look", 4 * SECOND, None, "", None)
+        pull(gateway, now)
+        gateway.on_reply(now + MS, f"t{n}", 0, face.OK, True, MS, {})
+        gateway.on_reply(now + 2 * MS, f"u{n}", 0, face.TIMED_OUT, False, 2 * MS, {})
+    assert not gateway.alarms
+
+
+def test_refusals_at_once_do_not_make_an_instance_look_empty():
+    gateway = running()
+    for n in range(300):
+        now = n * 20 * MS
+        gateway.on_rpc(now, f"r{n}", "look", 4 * SECOND, None, "", None)
+        for kind, rpc, instance, _ in [d for d in pull(gateway, now) if d[0] == face.PICK]:
+            full = kind == face.PICK and instance == 1
+            gateway.on_reply(now + MS, rpc, 0, face.FULL if full else face.OK, not full, MS, {})
+    sent = [pick for pick in range(300) if f"r{pick}" in gateway.rpcs]
+    assert len(sent) < 30
