Let old load reports fade to the fleet's mean

Cause: an instance without a fresh report counted as empty of others' RPCs and drew picks from all small gateways. Might hurt: one instance's long queue is forgotten within seconds when nothing is sent there.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -38,7 +38,7 @@
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
-REPORT_LIFE = 2 * SECOND
+REPORT_MEMORY = 1 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
@@ -73,6 +73,7 @@
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
+        self.others_mean = 0.0
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
@@ -453,7 +454,8 @@
     def _crowding(self, i: int, now: int) -> float:
         """In flight for its size and warmth; an instance that fails quickly must not look empty."""
         fleet = self.fleet
-        others = fleet.others[i] if now - fleet.reported_at[i] < REPORT_LIFE else 0.0
+        others = fleet.others[i] - self.others_mean * fleet.size[i]
+        others = self.others_mean * fleet.size[i] + others * exp((fleet.reported_at[i] - now) / REPORT_MEMORY)
         sound = max(FAIL_LEAST, 1 - self._failing(i, now))
         return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now) * sound * sound)
 
@@ -471,6 +473,7 @@
         reported = load.get("in_flight", load.get("waiting"))
         if reported is not None:
             fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
+            self.others_mean += (fleet.others[i] / fleet.size[i] - self.others_mean) * TOOK_WEIGHT
         if outcome in (UNREACHED, BROKEN, TIMED_OUT):
             self._strike(now, i)
         elif outcome in (OK, ERROR, FULL):
