Bound one instance's part in the sum

Cause: errors or slowness on a few machines filled W, though the design takes sensors as independent. Told from bad builds: earlier stages were clean and a tenth of the instances held most failures. Covers fast errors, slow, shared and dying machines, heaps of flags at one instance. Might hurt: builds bad on few machines.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -11,7 +11,7 @@
 import heapq
 from collections import deque
 from collections.abc import Iterator
-from math import exp, log
+from math import ceil, exp, log
 from random import Random
 
 from linenbridge.interface import (
@@ -29,6 +29,7 @@
 P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS, FRESH = 0.9, 0.5, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
+SPREAD, PART = 0.3, 1.5
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
@@ -84,6 +85,7 @@
         self.records: dict[tuple[int, int], BuildRecord] = {}
         self.judged, self.outcomes, self.earlier_at, self.withdrawn = -1, 0, -FRESH, set()
         self.sums: dict[tuple[int, str], float] = {}
+        self.parts: dict[tuple[int, str], dict[int, float]] = {}
         self.alarms: set[tuple[int, str]] = set()
         self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
         self.moot = (-1, -1)
@@ -192,7 +194,7 @@
     def on_flag(self, now: int, instance: int, method: str) -> None:
         i = self.fleet.index.get(instance)
         if i is not None:
-            self._count(now, self.fleet.build[i], self.row[method], True)
+            self._count(i, self.fleet.build[i], self.row[method], True)
 
     # ---- evidence: the design's sum, over own outcomes -------------------------------------------
 
@@ -201,6 +203,7 @@
         if build > self.judged:
             self.judged, self.outcomes = build, 0
             self.sums.clear()
+            self.parts.clear()
             self.alarms.clear()
 
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
@@ -210,7 +213,7 @@
         if outcome == OK and pick.build < self.judged:
             self.earlier_at = now
         if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._fresh(now, pick.build)):
-            self._count(now, pick.build, rpc.method, outcome != OK)
+            self._count(pick.instance, pick.build, rpc.method, outcome != OK)
             if pick.build == self.judged:
                 self.outcomes += 1
         if outcome == OK:
@@ -227,7 +230,7 @@
         known = [b for b, row in self.records if row == m and b < self.judged and b not in self.withdrawn]
         return self.records[max(known), m] if known else None
 
-    def _count(self, now: int, build: int, m: int, failed: bool) -> None:
+    def _count(self, i: int, build: int, m: int, failed: bool) -> None:
         self._record(build, m).add(failed)
         if build != self.judged or self.lowest >= build:
             return
@@ -235,7 +238,7 @@
         p0 = P0_FLOOR
         if earlier:
             p0 = max(p0, (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR))
-        self._add(now, m, "failed", failed, min(p0, 0.9), P1_STEP)
+        self._add(i, m, "failed", failed, min(p0, 0.8), P1_STEP)
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
@@ -245,7 +248,7 @@
             earlier = self._earlier(m)
             if earlier and len(earlier.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
                 slow = took * warmth > earlier.times.quantile(SLOW_QUANTILE)
-                self._add(now, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
+                self._add(pick.instance, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
         if warmth >= 1.0:
             self._record(pick.build, m).times.add(took)
 
@@ -253,12 +256,21 @@
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
         return build < self.judged or now < self.earlier_at + FRESH
 
-    def _add(self, now: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
-        """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level."""
+    def _add(self, i: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
+        """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level. One sick
+        instance is not the build: its part in W is bounded, so that an alarm needs a share of the build's
+        instances, whether the sick ones fail fast, crawl or sit on a shared machine."""
         p1 = p0 + step
         up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
         level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
         key = (m, bit)
+        trial = sum(self.fleet.build[j] == self.judged for j in self.fleet.ready)
+        parts = self.parts.setdefault(key, {})
+        if self.sums.get(key, 0.0) <= 0.0:
+            parts.clear()
+        if hit:
+            up = max(0.0, min(up, PART * level / max(1, ceil(SPREAD * trial)) - parts.get(i, 0.0)))
+            parts[i] = parts.get(i, 0.0) + up
         w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + (up if hit else down)
         if w > level and key not in self.alarms:
             self.alarms.add(key)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -114,3 +114,20 @@
     gateway.on_list(0, [entry(4, build=2, started=0)], whole=False, answers=True)
     assert (face.VOTE, 2, 0, face.ON) not in pull(gateway, 3 * SECOND)
     assert (face.VOTE, 2, 0, face.ON) in pull(gateway, 5 * SECOND)
+
+
+def trial_of(instances: int) -> Choice:
+    gateway = Choice(startup(), seed=5, now=0)
+    entries = [entry(1), *(entry(10 + n, build=2) for n in range(instances))]
+    gateway.on_list(0, entries, whole=True, answers=True)
+    gateway.on_stage(0, 2, 1, face.ON_TRIAL, 1.0, vote=False, valid=True)
+    return gateway
+
+
+def test_one_sick_instance_of_many_does_not_alarm_and_a_bad_build_does():
+    for sick, alarmed in ((1, False), (12, True)):
+        gateway = trial_of(12)
+        for n in range(60):
+            for j in range(12):
+                gateway._count(gateway.fleet.index[10 + j], 2, 0, j < sick and n % 2 == 0)
+        assert bool(gateway.alarms) is alarmed
