Take the slow bit's p0 from the earlier build's present share

Cause: in a crowded hour both builds slow, and a fixed p0 read the hour as the build. Covers overload, shared machines, cut zones, retry storms. Might hurt: builds slow only when busy are found later.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -27,7 +27,7 @@
 
 # The design's test. Failures: p1 = p0 + 0.15 over a floor of 0.01. Slowness is the same sum over another bit.
 P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
-SLOW_QUANTILE, SLOW_STEP, SLOW_NEEDS, FRESH = 0.9, 0.5, 30, 2 * SECOND
+SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
 SPREAD, PART = 0.3, 1.5
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
@@ -242,15 +242,20 @@
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
-        times'. A cold instance's times are held to what its least warmth would give it."""
+        times', p0 being the earlier build's own share of the present moment. A cold instance's times are held
+        to what its least warmth would give it."""
         warmth = self._warmth(pick.instance, pick.sent)
-        if pick.build == self.judged:
-            earlier = self._earlier(m)
-            if earlier and len(earlier.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
-                slow = took * warmth > earlier.times.quantile(SLOW_QUANTILE)
-                self._add(pick.instance, m, "slow", slow, 1 - SLOW_QUANTILE, SLOW_STEP)
+        own = self._record(pick.build, m)
+        record = self._earlier(m) if pick.build == self.judged else own
+        if record and len(record.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
+            slow = took * warmth > record.times.quantile(SLOW_QUANTILE)
+            if pick.build == self.judged:
+                p0 = min(max(1 - SLOW_QUANTILE, record.slow), SLOW_MOST)
+                self._add(pick.instance, m, "slow", slow, p0, SLOW_STEP)
+            elif warmth >= 1.0:
+                record.slow += (slow - record.slow) / SLOW_NEEDS
         if warmth >= 1.0:
-            self._record(pick.build, m).times.add(took)
+            own.times.add(took)
 
     def _fresh(self, now: int, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -55,7 +55,7 @@
     def __init__(self, keep: int, refresh: int) -> None:
         self.outcomes, self.failed = 0.0, 0.0
         self.times = Recent(keep, refresh)
-        self.memory = keep
+        self.memory, self.slow = keep, 0.0
 
     def add(self, failed: bool) -> None:
         keep = 1 - 1 / self.memory
