Leave cold instances out of the slow bit

Cause: new machines are cold and crowd first, which read as a slow build while the fleet was short of machines. Covers any crowding during a stage. Might hurt: a slow build is found some seconds later.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -242,20 +242,20 @@
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
-        times', p0 being the earlier build's own share of the present moment. A cold instance's times are held
-        to what its least warmth would give it."""
-        warmth = self._warmth(pick.instance, pick.sent)
+        times', p0 being the earlier build's own share of the present moment. Cold instances crowd early under
+        load: they are left out on both sides."""
+        if self._warmth(pick.instance, pick.sent) < 1.0:
+            return
         own = self._record(pick.build, m)
         record = self._earlier(m) if pick.build == self.judged else own
         if record and len(record.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
-            slow = took * warmth > record.times.quantile(SLOW_QUANTILE)
+            slow = took > record.times.quantile(SLOW_QUANTILE)
             if pick.build == self.judged:
                 p0 = min(max(1 - SLOW_QUANTILE, record.slow), SLOW_MOST)
                 self._add(pick.instance, m, "slow", slow, p0, SLOW_STEP)
-            elif warmth >= 1.0:
+            else:
                 record.slow += (slow - record.slow) / SLOW_NEEDS
-        if warmth >= 1.0:
-            own.times.add(took)
+        own.times.add(took)
 
     def _fresh(self, now: int, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
