--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -25,11 +25,11 @@
 
 MS, SECOND = 1_000, 1_000_000
 
-# The design's test. Failures: p1 = p0 + 0.15 over a floor of 0.01. Slowness is the same sum over another bit.
-P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
+# The design's test. Failures: p1 = p0 + 0.1 over a floor of 0.01. Slowness is the same sum over another bit.
+P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.1, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
-SPREAD, PART = 0.3, 1.5
+SPREAD, SPREAD_LEAST, PART = 0.35, 2, 1.2
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
@@ -274,7 +274,8 @@
         if self.sums.get(key, 0.0) <= 0.0:
             parts.clear()
         if hit:
-            up = max(0.0, min(up, PART * level / max(1, ceil(SPREAD * trial)) - parts.get(i, 0.0)))
+            needed = max(1, min(SPREAD_LEAST, trial), ceil(SPREAD * trial))
+            up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + up
         w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + (up if hit else down)
         if w > level and key not in self.alarms:
