--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -25,8 +25,8 @@
 
 MS, SECOND = 1_000, 1_000_000
 
-# The design's test. Failures: p1 = p0 + 0.1 over a floor of 0.01. Slowness is the same sum over another bit.
-P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.1, 20
+# The design's test. Failures: p1 = p0 + 0.15 over a floor of 0.01. Slowness is the same sum over another bit.
+P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
 SPREAD, SPREAD_LEAST, PART = 0.35, 2, 1.2
