Let an instance's part shrink as W does

Cause: a part once used stayed used until W fell to zero, so the sparse failures of a bad build stopped counting. Keeps the bound on one instance, two instances at least in an alarm where there are two.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -270,14 +270,14 @@
         level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
         key = (m, bit)
         trial = sum(self.fleet.build[j] == self.judged for j in self.fleet.ready)
-        parts = self.parts.setdefault(key, {})
-        if self.sums.get(key, 0.0) <= 0.0:
-            parts.clear()
+        parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
         if hit:
             needed = max(1, min(SPREAD_LEAST, trial), ceil(SPREAD * trial))
             up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + up
-        w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + (up if hit else down)
+        w = self.sums[key] = before + (up if hit else down)
+        if not hit:
+            self.parts[key] = {j: part * w / before for j, part in parts.items()} if w > 0.0 else {}
         if w > level and key not in self.alarms:
             self.alarms.add(key)
             self._log_sum("alarm", key, w, level, p0)
