--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -11,7 +11,7 @@
 import heapq
 from collections import deque
 from collections.abc import Iterator
-from math import ceil, exp, log
+from math import ceil, exp, log, sqrt
 from random import Random
 
 from linenbridge.interface import (
@@ -29,7 +29,7 @@
 P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.5
-SPREAD, SPREAD_LEAST, PART = 0.25, 2, 1.2
+PART = 1.2
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
@@ -263,8 +263,8 @@
 
     def _add(self, i: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
         """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level. One sick
-        instance is not the build: its part in W is bounded, so that an alarm needs a share of the build's
-        instances, whether the sick ones fail fast, crawl or sit on a shared machine."""
+        instance is not the build: its part in W is bounded, so that an alarm needs about the square root of
+        the build's instances, whether the sick ones fail fast, crawl or sit on a shared machine."""
         p1 = p0 + step
         up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
         level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
@@ -272,7 +272,7 @@
         trial = sum(self.fleet.build[j] == self.judged for j in self.fleet.ready)
         parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
         if hit:
-            needed = max(1, min(SPREAD_LEAST, trial), ceil(SPREAD * trial))
+            needed = ceil(sqrt(max(1, trial)))
             up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + up
         w = self.sums[key] = before + (up if hit else down)
