Let p0 remember 60 outcomes instead of 200

Cause: where an hour's trouble hits both builds alike, p0 followed too late and the trial build was blamed. Covers lost replies, overload, cut zones. Might hurt: a few chance failures at the earlier build raise p0 for some seconds.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -33,7 +33,7 @@
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
-RECORD_KEEP, RECORD_REFRESH = 200, 10
+RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH = 60, 200, 10
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
@@ -226,7 +226,7 @@
             self._count_time(now, pick, rpc.method, took)
 
     def _record(self, build: int, m: int) -> BuildRecord:
-        return self.records.setdefault((build, m), BuildRecord(RECORD_KEEP, RECORD_REFRESH))
+        return self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH))
 
     def _earlier(self, m: int) -> BuildRecord | None:
         """What is known of the build before the one judged."""
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -52,10 +52,10 @@
 class BuildRecord:
     """What this gateway's own RPCs of one method met at one build."""
 
-    def __init__(self, keep: int, refresh: int) -> None:
+    def __init__(self, memory: int, keep: int, refresh: int) -> None:
         self.outcomes, self.failed = 0.0, 0.0
         self.times = Recent(keep, refresh)
-        self.memory, self.slow = keep, 0.0
+        self.memory, self.slow = memory, 0.0
 
     def add(self, failed: bool) -> None:
         keep = 1 - 1 / self.memory
