Keep the sum at the design's p1 beside a steep one

Cause: with p1 = p0 + 0.15 alone, a build that fails 2 to 5% never adds up; with 0.05 alone, small gateways answer late. Both sums take the same outcomes; either may alarm. Covers builds bad only when busy or late. Might hurt: 'on' waits longer after a failure.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -25,8 +25,8 @@
 
 MS, SECOND = 1_000, 1_000_000
 
-# The design's test. Failures: p1 = p0 + 0.15 over a floor of 0.01. Slowness is the same sum over another bit.
-P0_FLOOR, P1_STEP, P0_PRIOR = 0.01, 0.15, 20
+# The design's test. Failures: two p1 over a floor of 0.01. Slowness is the same sum over another bit.
+P0_FLOOR, P1_STEPS, P0_PRIOR = 0.01, {"failed": 0.05, "failed much": 0.15}, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
 PART = 1.2
@@ -241,7 +241,8 @@
         p0 = P0_FLOOR
         if earlier:
             p0 = max(p0, (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR))
-        self._add(i, m, "failed", failed, min(p0, 0.8), P1_STEP)
+        for bit, step in P1_STEPS.items():
+            self._add(i, m, bit, failed, min(p0, 0.8), step)
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
