--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -463,9 +463,6 @@
             room = [i for i in room if fleet.build[i] != self.judged] or room
         if not room:
             return None
-        # What is in flight stretches a heavy RPC most: it keeps to instances where it can still be in time.
-        most = self.methods[m].soft_deadline / (self.took[m] * rpc.cost)
-        room = [i for i in room if self._crowding(i, now) <= most] or room
         sizes = [fleet.size[i] for i in room]
         first, second = self.random.choices(room, sizes, k=2)
         return first if self._crowding(first, now) <= self._crowding(second, now) else second
