--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -45,7 +45,7 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_SHARE, COLD_DEPTH = 0.9, 400 * MS
+COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
 LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
 
 SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
