--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -33,6 +33,7 @@
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
+UNREACHED_MEMORY = 5 * SECOND
 RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH = 60, 200, 10
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
@@ -87,6 +88,7 @@
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
         self.judged, self.outcomes, self.earlier_at, self.withdrawn = -1, 0, -FRESH, set()
+        self.trial_at, self.unreached_at, self.before = -FRESH, -UNREACHED_MEMORY, {}
         self.sums: dict[tuple[int, str], float] = {}
         self.parts: dict[tuple[int, str], dict[int, float]] = {}
         self.alarms: set[tuple[int, str]] = set()
@@ -205,6 +207,12 @@
         """A later build starts with clean sums."""
         if build > self.judged:
             self.judged, self.outcomes = build, 0
+            records = {m: self._earlier(m) for m in range(len(self.methods))}
+            self.before = {
+                m: record.times.quantile(SLOW_QUANTILE)
+                for m, record in records.items()
+                if record and len(record.times.values) >= SLOW_NEEDS
+            }
             self.sums.clear()
             self.parts.clear()
             self.alarms.clear()
@@ -215,6 +223,12 @@
         silent = self.fleet.last_reply[pick.instance] < pick.sent
         if outcome == OK and pick.build < self.judged:
             self.earlier_at = now
+        elif outcome == OK:
+            self.trial_at = now
+        if outcome in (UNREACHED, BROKEN):
+            self.unreached_at = now
+        if pick.build < self.judged and (outcome == OK or (outcome == TIMED_OUT and not silent)):
+            self._count_fleet(now, pick, rpc.method, took)
         if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._fresh(now, pick.build)):
             self._count(pick.instance, pick.build, rpc.method, outcome != OK)
             if pick.build == self.judged:
@@ -261,6 +275,14 @@
                 record.slow += (slow - record.slow) / SLOW_NEEDS
         own.times.add(took)
 
+    def _count_fleet(self, now: int, pick: Pick, m: int, took: int) -> None:
+        """A build can slow old and new in step, and then comparing them shows nothing: the same sum over the bit
+        'slower than most times before the trial', at the earlier build while the trial answers. Instances cut
+        off or dead explain a slow fleet: for a while after the last of them the bit is not taken."""
+        explained = now < self.unreached_at + UNREACHED_MEMORY or now > self.trial_at + FRESH
+        if m in self.before and not explained and self._warmth(pick.instance, pick.sent) >= 1.0:
+            self._add(pick.instance, m, "fleet slow", took > self.before[m], 1 - SLOW_QUANTILE, SLOW_STEP)
+
     def _fresh(self, now: int, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
         return build < self.judged or now < self.earlier_at + FRESH
@@ -273,10 +295,10 @@
         up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
         level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
         key = (m, bit)
-        trial = sum(self.fleet.build[j] == self.judged for j in self.fleet.ready)
+        like = sum(self.fleet.build[j] == self.fleet.build[i] for j in self.fleet.ready)
         parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
         if hit:
-            needed = ceil(sqrt(max(1, trial)))
+            needed = ceil(sqrt(max(1, like)))
             up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + up
         w = self.sums[key] = before + (up if hit else down)
