--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -207,12 +207,11 @@
         """A later build starts with clean sums."""
         if build > self.judged:
             self.judged, self.outcomes = build, 0
-            records = {m: self._earlier(m) for m in range(len(self.methods))}
-            self.before = {
-                m: record.times.quantile(SLOW_QUANTILE)
-                for m, record in records.items()
-                if record and len(record.times.values) >= SLOW_NEEDS
-            }
+            self.before.clear()
+            for m, method in enumerate(self.methods):
+                times = record.times.values if (record := self._earlier(m)) else ()
+                if len(times) >= SLOW_NEEDS:
+                    self.before[m] = sum(took > method.soft_deadline for took in times) / len(times)
             self.sums.clear()
             self.parts.clear()
             self.alarms.clear()
@@ -276,12 +275,13 @@
         own.times.add(took)
 
     def _count_fleet(self, now: int, pick: Pick, m: int, took: int) -> None:
-        """A build can slow old and new in step, and then comparing them shows nothing: the same sum over the bit
-        'slower than most times before the trial', at the earlier build while the trial answers. Instances cut
-        off or dead explain a slow fleet: for a while after the last of them the bit is not taken."""
+        """A build can slow old and new in step, and then comparing them shows nothing: the same sum over the
+        bit 'past its soft deadline' at the earlier build while the trial answers, p0 being the share before the
+        trial. Instances cut off or dead explain a slow fleet: for a while after them the bit is not taken."""
         explained = now < self.unreached_at + UNREACHED_MEMORY or now > self.trial_at + FRESH
         if m in self.before and not explained and self._warmth(pick.instance, pick.sent) >= 1.0:
-            self._add(pick.instance, m, "fleet slow", took > self.before[m], 1 - SLOW_QUANTILE, SLOW_STEP)
+            p0 = min(max(1 - SLOW_QUANTILE, self.before[m]), SLOW_MOST)
+            self._add(pick.instance, m, "fleet late", took > self.methods[m].soft_deadline, p0, SLOW_STEP)
 
     def _fresh(self, now: int, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
