Sum up lateness at the earlier build during a trial: a build may slow old and new in step

Cause: sums that compare the builds see nothing when both slow alike; a whole stage passed before failures alarmed. The same sum over 'past its soft deadline' at the earlier build, p0 from before the trial, p1 nearly all; not taken for 5 s after an instance was cut off or died. Covers builds that exhaust what the fleet shares. Might hurt: a collapse of other cause during a trial.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -33,7 +33,7 @@
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
-UNREACHED_MEMORY = 5 * SECOND
+FLEET_P0, FLEET_P0_MOST, FLEET_P1, UNREACHED_MEMORY = 0.3, 0.5, 0.9, 5 * SECOND
 RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH = 60, 200, 10
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
@@ -276,12 +276,13 @@
 
     def _count_fleet(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build can slow old and new in step, and then comparing them shows nothing: the same sum over the
-        bit 'past its soft deadline' at the earlier build while the trial answers, p0 being the share before the
-        trial. Instances cut off or dead explain a slow fleet: for a while after them the bit is not taken."""
+        bit 'past its soft deadline' at the earlier build while the trial answers, p0 the share before the
+        trial, p1 nearly all. Instances cut off or dead explain a slow fleet: it is not taken for a while."""
         explained = now < self.unreached_at + UNREACHED_MEMORY or now > self.trial_at + FRESH
         if m in self.before and not explained and self._warmth(pick.instance, pick.sent) >= 1.0:
-            p0 = min(max(1 - SLOW_QUANTILE, self.before[m]), SLOW_MOST)
-            self._add(pick.instance, m, "fleet late", took > self.methods[m].soft_deadline, p0, SLOW_STEP)
+            p0 = min(max(FLEET_P0, self.before[m]), FLEET_P0_MOST)
+            late = took > self.methods[m].soft_deadline
+            self._add(pick.instance, m, "fleet late", late, p0, FLEET_P1 - p0)
 
     def _fresh(self, now: int, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -131,3 +131,17 @@
             for j in range(12):
                 gateway._count(gateway.fleet.index[10 + j], 2, 0, j < sick and n % 2 == 0)
         assert bool(gateway.alarms) is alarmed
+
+
+def test_a_build_that_slows_old_and_new_in_step_is_voted_back():
+    gateway = running()
+    gateway.judged, gateway.earlier_at = 1, 0
+    for _ in range(60):
+        gateway._record(1, 0).times.add(100 * MS)
+    gateway._judge(2)
+    for n in range(60):
+        now = n * 50 * MS
+        gateway.on_rpc(now, f"r{n}", "look", 4 * SECOND, None, "", None)
+        pull(gateway, now)
+        gateway.on_reply(now, f"r{n}", 0, face.OK, True, 2 * SECOND, {})
+    assert any(bit == "fleet late" for _, bit in gateway.alarms)
