--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -28,7 +28,7 @@
 # The design's test. Failures: two p1 over a floor of 0.01. Slowness is the same sum over another bit.
 P0_FLOOR, P1_STEPS, P0_PRIOR = 0.01, {"failed": 0.05, "failed much": 0.15}, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
-LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
+LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 15.0, 0.2
 PART = 1.2
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
