Compare times only while an earlier instance is listed ready

Cause: when the last earlier instances drained, traffic moved wholly to new and partly cold ones, and two seconds of that read as slow. Replaces the two-second memory by one look at the list; the module shrinks. Might hurt: a slow build first seen in the last stage.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -28,7 +28,7 @@
 # The design's test. Failures: two p1 over a floor of 0.01. Slowness is the same sum over another bit.
 P0_FLOOR, P1_STEPS, P0_PRIOR = 0.01, {"failed": 0.05, "failed much": 0.15}, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
-LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 15.0, 0.2
+LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
 PART = 1.2
 ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
@@ -87,7 +87,7 @@
         self.spare.share = OVERDUE_SHARE
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
-        self.judged, self.outcomes, self.earlier_at, self.withdrawn = -1, 0, -FRESH, set()
+        self.judged, self.outcomes, self.withdrawn = -1, 0, set()
         self.trial_at, self.unreached_at, self.before = -FRESH, -UNREACHED_MEMORY, {}
         self.sums: dict[tuple[int, str], float] = {}
         self.parts: dict[tuple[int, str], dict[int, float]] = {}
@@ -220,15 +220,13 @@
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
         throughout, tells of the instance: a crash, a cut or a slow machine is no fault of the build."""
         silent = self.fleet.last_reply[pick.instance] < pick.sent
-        if outcome == OK and pick.build < self.judged:
-            self.earlier_at = now
-        elif outcome == OK:
+        if outcome == OK and pick.build == self.judged:
             self.trial_at = now
         if outcome in (UNREACHED, BROKEN):
             self.unreached_at = now
         if pick.build < self.judged and (outcome == OK or (outcome == TIMED_OUT and not silent)):
             self._count_fleet(now, pick, rpc.method, took)
-        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._fresh(now, pick.build)):
+        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._comparable(pick.build)):
             self._count(pick.instance, pick.build, rpc.method, outcome != OK)
             if pick.build == self.judged:
                 self.outcomes += 1
@@ -265,7 +263,7 @@
             return
         own = self._record(pick.build, m)
         record = self._earlier(m) if pick.build == self.judged else own
-        if record and len(record.times.values) >= SLOW_NEEDS and self._fresh(now, pick.build):
+        if record and len(record.times.values) >= SLOW_NEEDS and self._comparable(pick.build):
             slow = took > record.times.quantile(SLOW_QUANTILE)
             if pick.build == self.judged:
                 p0 = min(max(1 - SLOW_QUANTILE, record.slow), SLOW_MOST)
@@ -284,9 +282,9 @@
             late = took > self.methods[m].soft_deadline
             self._add(pick.instance, m, "fleet late", late, p0, FLEET_P1 - p0)
 
-    def _fresh(self, now: int, build: int) -> bool:
-        """Slowness and time-outs tell the build from the hour only while the earlier build answers."""
-        return build < self.judged or now < self.earlier_at + FRESH
+    def _comparable(self, build: int) -> bool:
+        """Slowness and time-outs tell the build from the hour only while an earlier instance is ready."""
+        return build < self.judged or any(self.fleet.build[i] < self.judged for i in self.fleet.ready)
 
     def _add(self, i: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
         """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level. One sick
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -135,7 +135,7 @@
 
 def test_a_build_that_slows_old_and_new_in_step_is_voted_back():
     gateway = running()
-    gateway.judged, gateway.earlier_at = 1, 0
+    gateway.judged = 1
     for _ in range(60):
         gateway._record(1, 0).times.add(100 * MS)
     gateway._judge(2)
