Keep moved keys by build, tell moot votes from lost ones, drop a list

Cause, found by reading: a key answered by a withdrawn build's last instance would have bound it to that build; a vote that met a platform in trouble was read as a stage guessed too high; an answer never given blocked the vote. A lower cap now binds the refill at once.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -65,7 +65,6 @@
         self.fleet = Fleet()
         self.rpcs: dict[str, Rpc] = {}
         self.waiting: list[Rpc] = []
-        self.giving_up: list[Rpc] = []
         self.due: list[tuple[int, str]] = []
         self.notes: deque[str] = deque()
         self.passing: Iterator[tuple] | None = None
@@ -82,7 +81,7 @@
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
         self.taken = [0] * (len(self.methods) + 1)
         self.buckets: dict[tuple[int, int], CapBucket] = {}
-        self.moved_keys: set[int] = set()
+        self.moved: dict[int, int] = {}
         self.spare = CapBucket(OVERDUE_DEPTH, 0, -1)
         self.spare.share = OVERDUE_SHARE
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
@@ -159,10 +158,7 @@
         if final or owner.ended:
             self._end(owner)
         elif not owner.out():
-            if outcome == TIMED_OUT and now >= owner.deadline - LAST_MOMENT:
-                self.giving_up.append(owner)
-            else:
-                self.waiting.append(owner)
+            self.waiting.append(owner)
 
     def _end(self, rpc: Rpc) -> None:
         rpc.ended = True
@@ -170,26 +166,28 @@
             self.rpcs.pop(rpc.id, None)
 
     def on_stage(
-        self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool
-    ) -> None:
+        self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool,
+        moot: bool = False,
+    ) -> None:  # fmt: skip
         if vote:
             self.vote_out = False
             if not valid:
                 self.vote_at = now + int(self.vote_wait * self.random.uniform(0.5, 1.5))
                 self.vote_wait = min(2 * self.vote_wait, VOTE_RETRY_MOST)
-                self.moot, self.cast = self.cast[:2], (-1, -1, NO_VOTE)
+                self.moot = self.cast[:2] if moot else self.moot
+                self.cast = (-1, -1, NO_VOTE)
         if not valid or build < self.build:
             return
         self.vote_wait = VOTE_RETRY
         if (build, stage, phase) != (self.build, self.stage, self.phase):
             self.notes.append(f"build {build} stage {stage} phase {phase} cap {cap:g}")
-        if build > self.build or phase not in (ON_TRIAL, RELEASED):
-            self.moved_keys.clear()
-        if phase not in (ON_TRIAL, RELEASED):
-            self.withdrawn.add(build)
         for bucket in self.buckets.values():
             bucket.settle(self.taken[bucket.row])
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
+        (self.withdrawn.discard if phase in (ON_TRIAL, RELEASED) else self.withdrawn.add)(build)
+        self.moved = {key: b for key, b in self.moved.items() if b >= build and b not in self.withdrawn}
+        for (b, _), bucket in self.buckets.items():
+            bucket.share = self._share(b)
         self.moot = (-1, -1)
         self._judge(build)
 
@@ -231,8 +229,9 @@
             if pick.build == self.judged:
                 self.outcomes += 1
         if outcome == OK:
-            if self.plan.forward_only and rpc.key is not None and pick.build == self.build:
-                self.moved_keys.add(rpc.key)
+            binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
+            if binds and rpc.key is not None:
+                self.moved[rpc.key] = max(pick.build, self.moved.get(rpc.key, 0))
             self.took[rpc.method] += (took - self.took[rpc.method]) * TOOK_WEIGHT
             self._count_time(now, pick, rpc.method, took)
 
@@ -354,16 +353,13 @@
 
     def _place(self, now: int) -> Iterator[tuple]:
         """Most utility first; what finds no room waits until its soft deadline is out of reach, no longer."""
-        for rpc in self.giving_up:
-            if not rpc.ended:
-                yield self._final(rpc)
-        self.giving_up.clear()
         queue = [rpc for rpc in self.waiting if not rpc.ended]
         queue.sort(key=lambda rpc: (-rpc.utility, rpc.arrived))
         self.waiting = []
         full: set[int] = set()
         for rpc in queue:
-            if len(rpc.picks) >= self.allow.max_picks or not self._may_pick(now, rpc):
+            spent = len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
+            if spent or not self._may_pick(now, rpc):
                 yield self._final(rpc)
                 continue
             fresh = not rpc.picks
@@ -420,17 +416,20 @@
             return None
         return self.cap, self.stage
 
-    def _bucket(self, build: int, m: int) -> CapBucket | None:
+    def _share(self, build: int) -> float:
+        """At a full cap no earlier instance may be left to take the tenth held back: all of it is used."""
         cap = self._cap(build)
-        if cap is None:
+        return 1.0 if cap is None or cap[0] >= 1.0 else SEND_SHARE * cap[0]
+
+    def _bucket(self, build: int, m: int) -> CapBucket | None:
+        if self._cap(build) is None:
             return None
         row = m if self.plan.per_method else -1
         bucket = self.buckets.get((build, row))
         if bucket is None:
             bucket = self.buckets[build, row] = CapBucket(self.plan.spare_picks, self.taken[row], row)
+            bucket.share = self._share(build)
         bucket.settle(self.taken[row])
-        # At a full cap no earlier instance may be left to take the tenth held back: the whole share is used.
-        bucket.share = cap[0] if cap[0] >= 1.0 else SEND_SHARE * cap[0]
         return bucket
 
     def _exposed(self, build: int, m: int) -> bool:
@@ -470,10 +469,10 @@
         fleet, m = self.fleet, rpc.method
         fleet_size = sum(fleet.size[i] for i in fleet.ready)
         open_builds = {build: self._exposed(build, m) for build in {fleet.build[i] for i in fleet.ready}}
-        moved = self.plan.forward_only and rpc.key in self.moved_keys
+        least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
         allowed = [
             i for i in fleet.ready
-            if open_builds[fleet.build[i]] and not (moved and fleet.build[i] < self.build)
+            if open_builds[fleet.build[i]] and fleet.build[i] >= least
             and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost, fleet_size)
         ]  # fmt: skip
         sound = [i for i in allowed if fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST]
@@ -605,7 +604,7 @@
     def _ballot(self, now: int) -> Iterator[tuple]:
         """One standing vote, renewed until the stage moves; withdrawn when nothing asks for it any more."""
         wanted = (*self._stage_seen(), self._wanted(now))
-        if self.vote_out or now < self.vote_at and (wanted == self.cast or self.vote_wait > VOTE_RETRY):
+        if now < self.vote_at and (self.vote_out or wanted == self.cast or self.vote_wait > VOTE_RETRY):
             return
         if wanted[2] == NO_VOTE and (self.cast[2] == NO_VOTE or self.cast[:2] != wanted[:2]):
             return
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -153,7 +153,7 @@
     def release_state(self, gateway: Choice, message: wire.ReleaseState) -> None:
         gateway.on_stage(
             self.now, message.rel, message.wave, message.course, message.limit_share,
-            vote=message.code == 1, valid=message.outcome == "S",
+            vote=message.code == 1, valid=message.outcome == "S", moot=message.outcome == "N",
         )  # fmt: skip
 
     def metrics(self, gateway: Choice, message: wire.Metrics) -> None:
