--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -75,7 +75,7 @@
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
-        self.others_mean, self.busy_mean, self.out_mean, self.gateways = 0.0, 0.5, 1.0, start.gateways
+        self.others_mean = 0.0
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
@@ -512,13 +512,7 @@
     ) -> None:
         fleet, i, soft = self.fleet, pick.instance, self.strictest * max(1.0, rpc.cost)
         fleet.out[i] = max(0, fleet.out[i] - 1)
-        reported = load.get("in_flight")
-        if "busy" in load:
-            # No count of what others have there: a busy share stands for as much as it does on the average.
-            self.busy_mean += (load["busy"] - self.busy_mean) * TOOK_WEIGHT
-            self.out_mean += (fleet.out[i] + 1 - self.out_mean) * TOOK_WEIGHT
-            all_out = self.gateways * self.out_mean
-            reported = load.get("waiting", 0.0) + load["busy"] * all_out / max(self.busy_mean, 0.1)
+        reported = load.get("in_flight", load.get("waiting"))
         if reported is not None:
             fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
             self.others_mean += (fleet.others[i] / fleet.size[i] - self.others_mean) * TOOK_WEIGHT
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -83,7 +83,6 @@
     """All that a gateway is given when it starts."""
 
     zone: str
-    gateways: int
     methods: tuple[Method, ...]
     tenant_shares: dict[str, float]
     plan: RolloutPlan
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -29,7 +29,6 @@
     plan, allow, rules = info.family_info, info.permissions, info.rules
     return face.Startup(
         zone=info.my_zone,
-        gateways=info.balancers,
         methods=tuple(
             face.Method(
                 name=row.name,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -28,7 +28,7 @@
     )  # fmt: skip
     for name, value in changes.items():
         (plan if name in plan else allow)[name] = value
-    return Startup("a", 3, methods, {}, RolloutPlan(**plan), Allowances(**allow))
+    return Startup("a", methods, {}, RolloutPlan(**plan), Allowances(**allow))
 
 
 def entry(instance: int, build: int = 1, state: int = face.READY, started: int = LONG_AGO, zone: str = "a"):
