Vote no 'on' while a sum is on its way to the alarm

Cause: builds that fail 2 to 5% kept sums near their alarm for whole stages, and the twenty outcomes from before still voted 'on'. Covers any slowly showing fault.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -30,7 +30,7 @@
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
 PART = 1.2
-ON_OUTCOMES, ON_WAIT = 20, 4 * SECOND
+ON_OUTCOMES, ON_MOST, ON_WAIT = 20, 0.5, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
 FLEET_P0, FLEET_P0_MOST, FLEET_P1, UNREACHED_MEMORY = 0.3, 0.5, 0.9, 5 * SECOND
@@ -585,8 +585,10 @@
         starts = [self.fleet.started[i] for i in self.fleet.ready if self.fleet.build[i] == self.judged]
         if phase == RELEASED or not starts:
             return NO_VOTE
-        quiet = all(w <= 0.0 for w in self.sums.values())
-        if self.outcomes >= ON_OUTCOMES or (now >= max(starts) + ON_WAIT and quiet):
+        # A sum on its way to the alarm is no ground for 'on', whatever the outcomes before it.
+        highest = max(self.sums.values(), default=0.0)
+        enough = self.outcomes >= ON_OUTCOMES and highest <= ON_MOST * LEAST_THRESHOLD
+        if enough or (now >= max(starts) + ON_WAIT and highest <= 0.0):
             return NO_VOTE if self.plan.by_timer else ON
         return HOLD if self.plan.by_timer else NO_VOTE
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -145,3 +145,11 @@
         pull(gateway, now)
         gateway.on_reply(now, f"r{n}", 0, face.OK, True, 2 * SECOND, {})
     assert any(bit == "fleet late" for _, bit in gateway.alarms)
+
+
+def test_no_on_while_a_sum_nears_its_alarm():
+    gateway = running()
+    gateway.outcomes = ON_OUTCOMES
+    assert gateway._wanted(SECOND) == face.ON
+    gateway._count(gateway.fleet.index[4], 2, 0, True)
+    assert gateway._wanted(SECOND) == face.NO_VOTE and not gateway.alarms
