--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -216,10 +216,12 @@
 
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
-        throughout, tells of the instance: a crash or a cut is no fault of the build. One that crawls has a
-        single pick out and little chance to show life: only its third such time-out running is passed over."""
-        i, fleet = pick.instance, self.fleet
-        silent = fleet.last_reply[i] < pick.sent and (fleet.out[i] > 0 or fleet.strikes[i] > CRAWL_STRIKES)
+        throughout, tells of the instance: a crash or a cut is no fault of the build. One that crawls has but
+        one pick out and cannot show life: it is silent only from its third such time-out running, or while
+        instances were cut off or died lately."""
+        i, fleet, cut = pick.instance, self.fleet, now < self.unreached_at + UNREACHED_MEMORY
+        silent = cut or fleet.out[i] > 0 or fleet.strikes[i] > CRAWL_STRIKES
+        silent = silent and fleet.last_reply[i] < pick.sent
         if outcome == OK and pick.build == self.judged:
             self.trial_at = now
         if outcome in (UNREACHED, BROKEN):
