--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -39,7 +39,7 @@
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 OVERDUE, OVERDUE_SHARE, OVERDUE_DEPTH = 3.0, 0.05, 5.0
-SHUN, SHUN_MOST, LOG_STRIKES, CRAWL_STRIKES = 500 * MS, 4 * SECOND, 3, 2
+SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
 REPORT_MEMORY = 1 * SECOND
 
@@ -216,12 +216,8 @@
 
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
-        throughout, tells of the instance: a crash or a cut is no fault of the build. One that crawls has but
-        one pick out and cannot show life: it is silent only from its third such time-out running, or while
-        instances were cut off or died lately."""
-        i, fleet, cut = pick.instance, self.fleet, now < self.unreached_at + UNREACHED_MEMORY
-        silent = cut or fleet.out[i] > 0 or fleet.strikes[i] > CRAWL_STRIKES
-        silent = silent and fleet.last_reply[i] < pick.sent
+        throughout, tells of the instance: a crash, a cut or a slow machine is no fault of the build."""
+        silent = self.fleet.last_reply[pick.instance] < pick.sent
         if outcome == OK and pick.build == self.judged:
             self.trial_at = now
         if outcome in (UNREACHED, BROKEN):
