--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -43,7 +43,6 @@
     token_window: int
     soft_deadline: int
     utility: float
-    late_utility: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +72,6 @@
     cold_from: float
     cold: int
     fall_multiple: float
-    zone_charge: float
     by_work: bool
     over_share_utility: float
 
@@ -82,7 +80,6 @@
 class Startup:
     """All that a gateway is given when it starts."""
 
-    zone: str
     methods: tuple[Method, ...]
     tenant_shares: dict[str, float]
     plan: RolloutPlan
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -28,7 +28,6 @@
     """The settings in the module's own words."""
     plan, allow, rules = info.family_info, info.permissions, info.rules
     return face.Startup(
-        zone=info.my_zone,
         methods=tuple(
             face.Method(
                 name=row.name,
@@ -37,7 +36,6 @@
                 token_window=micros(row.window),
                 soft_deadline=micros(row.aim),
                 utility=row.worth,
-                late_utility=row.late_worth,
             )
             for row in info.profiles
         ),
@@ -62,7 +60,6 @@
             cold_from=rules.cold_from,
             cold=micros(rules.cold),
             fall_multiple=rules.fall_multiple,
-            zone_charge=info.charges.get("cross_zone", 0.0),
             by_work=info.value_by == "work",
             over_share_utility=info.over_share_worth,
         ),
--- a/linenbridge/wirehost/messages.py
+++ b/linenbridge/wirehost/messages.py
@@ -10,14 +10,11 @@
 class Info(Struct):
     """The settings; nested tables are read by `startup`."""
 
-    balancers: int
-    my_zone: str
     discovery: Literal["push", "ask"]
     profiles: list[Profile]
     family_info: Family
     permissions: Permissions
     rules: Rules
-    charges: dict[str, float]
     tenants: list[Tenant] = []
     value_by: str = "request"
     over_share_worth: float = 1.0
@@ -31,7 +28,6 @@
     idempotency: Literal["repeatable", "by_key", "once"]
     group: Literal["all", "zone", "cell"] = "all"
     window: float = 0.0
-    late_worth: float = 0.0
 
 
 class Tenant(Struct):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,9 +13,9 @@
 def startup(**changes) -> Startup:
     """A deployment of three methods; `changes` replace fields of the plan, the allowances or the whole."""
     methods = (
-        Method("look", face.IDEMPOTENT, "all", 0, SECOND, 1.0, 0.0),
-        Method("store", face.TOKENED, "zone", 5 * SECOND, SECOND, 2.0, 0.0),
-        Method("charge", face.NON_IDEMPOTENT, "all", 0, SECOND, 4.0, 0.0),
+        Method("look", face.IDEMPOTENT, "all", 0, SECOND, 1.0),
+        Method("store", face.TOKENED, "zone", 5 * SECOND, SECOND, 2.0),
+        Method("charge", face.NON_IDEMPOTENT, "all", 0, SECOND, 4.0),
     )
     plan = dict(
         by_timer=False, in_place=False, shares=(0.17, 1.0), caps=(0.2, 1.0), closed_stages=1,
@@ -23,12 +23,12 @@
     )  # fmt: skip
     allow = dict(
         max_picks=3, second_copies=True, may_cancel=True, retry_after_most=SECOND, asks_for_list=False,
-        cold_from=0.3, cold=4 * SECOND, fall_multiple=2.0, zone_charge=0.0, by_work=False,
+        cold_from=0.3, cold=4 * SECOND, fall_multiple=2.0, by_work=False,
         over_share_utility=0.1,
     )  # fmt: skip
     for name, value in changes.items():
         (plan if name in plan else allow)[name] = value
-    return Startup("a", methods, {}, RolloutPlan(**plan), Allowances(**allow))
+    return Startup(methods, {}, RolloutPlan(**plan), Allowances(**allow))
 
 
 def entry(instance: int, build: int = 1, state: int = face.READY, started: int = LONG_AGO, zone: str = "a"):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -8,7 +8,7 @@
 from linenbridge.wirehost.adapter import serve
 
 INFO = {
-    "balancers": 1, "my_zone": "a", "discovery": "push", "charges": {},
+    "discovery": "push", "a_new_table": {},
     "profiles": [{"name": "look", "aim": 1.0, "give_up": 4.0, "worth": 1.0, "idempotency": "repeatable"}],
     "family_info": {
         "gate_mode": "share", "style": "beside", "shares": [0.1, 1.0], "caps": [0.12, 1.0], "per": "all",
