--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -40,7 +40,7 @@
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 OVERDUE, OVERDUE_SHARE, OVERDUE_DEPTH = 3.0, 0.05, 5.0
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
-FAIL_WEIGHT, FAIL_MEMORY, FAIL_MOST = 0.15, 5 * SECOND, 0.5
+FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
 REPORT_MEMORY = 1 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
@@ -494,11 +494,12 @@
         return self.fleet.out[i] < self.fleet.limit[i]
 
     def _crowding(self, i: int, now: int) -> float:
-        """In flight for its size and warmth."""
+        """In flight for its size and warmth; an instance that fails quickly must not look empty."""
         fleet = self.fleet
         others = fleet.others[i] - self.others_mean * fleet.size[i]
         others = self.others_mean * fleet.size[i] + others * exp((fleet.reported_at[i] - now) / REPORT_MEMORY)
-        return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now))
+        sound = max(FAIL_LEAST, 1 - self._failing(i, now))
+        return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now) * sound * sound)
 
     def _failing(self, i: int, now: int) -> float:
         """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
