--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -38,7 +38,6 @@
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
-OVERDUE, OVERDUE_SHARE, OVERDUE_DEPTH = 3.0, 0.05, 5.0
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
 REPORT_MEMORY = 1 * SECOND
@@ -82,8 +81,6 @@
         self.taken = [0] * (len(self.methods) + 1)
         self.buckets: dict[tuple[int, int], CapBucket] = {}
         self.moved: dict[int, int] = {}
-        self.spare = CapBucket(OVERDUE_DEPTH, 0, -1)
-        self.spare.share = OVERDUE_SHARE
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
         self.judged, self.outcomes, self.withdrawn = -1, 0, set()
@@ -541,9 +538,7 @@
 
     def _doubt(self, now: int) -> Iterator[tuple]:
         """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
-        that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter. So
-        does, within a small budget, an RPC that is itself overdue: an answer lost, a worker stuck. Giving up
-        the first pick for it would waste work that may be near its end: so only where both may be out."""
+        that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter."""
         fleet, doubted = self.fleet, set()
         for i in range(len(fleet.ids)):
             if fleet.out[i] and now >= fleet.shun_until[i]:
@@ -551,19 +546,17 @@
                 if silence > SUSPECT * max(fleet.gap[i], SWEEP):
                     self._strike(now, i)
                     doubted.add(i)
-        self.spare.settle(self.taken[-1])
+        if not doubted:
+            return
         for rpc in list(self.rpcs.values()):
             if rpc.ended or rpc.streaming or rpc.out() != 1 or now > rpc.soft_deadline:
                 continue
             number, pick = next((n, pick) for n, pick in enumerate(rpc.picks) if pick.outcome is None)
             method = self.methods[rpc.method]
-            if method.effect == NON_IDEMPOTENT or pick.cancelled or len(rpc.picks) >= self.allow.max_picks:
+            if pick.instance not in doubted or method.effect == NON_IDEMPOTENT or pick.cancelled:
+                continue
+            if len(rpc.picks) >= self.allow.max_picks:
                 continue
-            if pick.instance not in doubted:
-                overdue = now - pick.sent > OVERDUE * self.took[rpc.method] * max(1.0, rpc.cost)
-                if not (overdue and self.allow.second_copies) or len(rpc.picks) > 1 or self.spare.tokens < 1:
-                    continue
-                self.spare.tokens -= 1.0
             if self.allow.second_copies:
                 target = self._target(now, rpc) if self._may_pick(now, rpc) else None
                 if target is not None and target != pick.instance:
