--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -45,8 +45,8 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_SHARE, COLD_DEPTH = 0.6, 400 * MS
-LOAD_MEMORY, TENANT_MEMORY, OVER_SHARE = 2 * SECOND, 5 * SECOND, 1.15
+COLD_SHARE, SERVED_MEMORY = 0.6, 10 * SECOND
+TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
 RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
@@ -70,7 +70,8 @@
         self.sweep_at = now
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.watch_wait = LIST_RETRY
-        self.load = DecayingRate(LOAD_MEMORY)
+        self.work_taken, self.fleet_size = 0.0, 0.0
+        self.asked, self.served = DecayingRate(SERVED_MEMORY), DecayingRate(SERVED_MEMORY)
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
@@ -97,6 +98,7 @@
         self.fleet.update(entries, whole, GAP_START, LIMIT_START)
         if answers:
             self.watch_wait = LIST_RETRY
+        self.fleet_size = max(self.fleet_size, sum(self.fleet.size[i] for i in self.fleet.ready))
         builds = [self.fleet.build[i] for i in self.fleet.ready]
         if builds:
             self.lowest = min(builds) if self.lowest < 0 else min(self.lowest, *builds)
@@ -119,7 +121,9 @@
             utility *= self.allow.over_share_utility
         self.taken[m] += 1
         self.taken[-1] += 1
-        self.load.add(now, cost)
+        self.work_taken += cost
+        self.asked.add(now, 1.0)
+        self.served.add(now, 0.0)
         end = now + ttl
         taken = Rpc(rpc, m, now, min(now + table.soft_deadline, end), end, cost, utility, key)
         self.rpcs[rpc] = taken
@@ -226,6 +230,7 @@
             if pick.build == self.judged:
                 self.outcomes += 1
         if outcome == OK:
+            self.served.add(now, 1.0)
             binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
             if binds and rpc.key is not None:
                 self.moved[rpc.key] = max(pick.build, self.moved.get(rpc.key, 0))
@@ -445,18 +450,23 @@
             return 1.0
         return self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
 
-    def _cold_room(self, now: int, i: int, cost: float, fleet_size: float) -> bool:
+    def _cold_room(self, now: int, i: int, cost: float) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
-        size and warmth give it, times a share of the allowed multiple; so all gateways together keep it."""
+        size and warmth give it, times a share of the allowed multiple; so all gateways together keep it.
+        Earned by RPC taken, not by time: a rate measured from few arrivals runs high at small gateways. And by
+        the share that ends ok: under overload and retries what is taken says nothing of what can be done. The
+        fleet counts at its largest: in place, half of it may drain while the other half starts."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
-        part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / fleet_size
-        rate = part * self.load.per_second(now)
-        depth = max(1.0, rate * COLD_DEPTH / SECOND)
-        earned = rate * (now - fleet.cold_at[i]) / SECOND
-        fleet.cold_tokens[i], fleet.cold_at[i] = min(depth, fleet.cold_tokens[i] + earned), now
-        return fleet.cold_tokens[i] >= min(cost, depth)
+        part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / self.fleet_size
+        part *= (self.served.amount + 0.5) / (self.asked.amount + 1.0)
+        if fleet.cold_mark[i] < 0.0:  # The first allowance is a chance: hundreds of whole ones would meet here.
+            fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
+        earned = part * (self.work_taken - fleet.cold_mark[i])
+        fleet.cold_tokens[i] = min(1.0, fleet.cold_tokens[i] + earned)
+        fleet.cold_mark[i] = self.work_taken
+        return fleet.cold_tokens[i] >= min(cost, 1.0)
 
     # ---- choosing an instance --------------------------------------------------------------------
 
@@ -464,13 +474,12 @@
         """Two random choices, by size, on what is in flight. Further picks keep off the instances tried
         before and, where others can take them, off the build on trial."""
         fleet, m = self.fleet, rpc.method
-        fleet_size = sum(fleet.size[i] for i in fleet.ready)
         open_builds = {build: self._exposed(build, m) for build in {fleet.build[i] for i in fleet.ready}}
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
         allowed = [
             i for i in fleet.ready
             if open_builds[fleet.build[i]] and fleet.build[i] >= least
-            and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost, fleet_size)
+            and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost)
         ]  # fmt: skip
         sound = [i for i in allowed if fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST]
         room = [i for i in sound or allowed if self._has_room(i, rpc)]
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -31,7 +31,7 @@
         self.others: list[float] = []
         self.reported_at: list[int] = []
         self.cold_tokens: list[float] = []
-        self.cold_at: list[int] = []
+        self.cold_mark: list[float] = []
         self.ready: list[int] = []
 
     def update(self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float) -> None:
@@ -61,7 +61,7 @@
             (self.started, 0), (self.out, 0), (self.busy_since, 0), (self.last_reply, 0), (self.gap, 0.0),
             (self.failing, 0.0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
             (self.shun_until, 0), (self.others, 0.0), (self.reported_at, 0), (self.cold_tokens, 0.0),
-            (self.cold_at, 0),
+            (self.cold_mark, -1.0),
         ):  # fmt: skip
             array.append(empty)
         return i
@@ -71,4 +71,4 @@
         self.build[i], self.started[i], self.size[i] = entry.build, entry.started, max(entry.size, 1e-6)
         self.gap[i], self.limit[i] = gap, limit
         self.failing[i], self.strikes[i], self.shun_until[i] = 0.0, 0, 0
-        self.others[i], self.cold_tokens[i], self.cold_at[i] = 0.0, 1.0, entry.started
+        self.others[i], self.cold_tokens[i], self.cold_mark[i] = 0.0, 0.0, -1.0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -153,3 +153,18 @@
     assert gateway._wanted(SECOND) == face.ON
     gateway._count(gateway.fleet.index[4], 2, 0, True)
     assert gateway._wanted(SECOND) == face.NO_VOTE and not gateway.alarms
+
+
+def test_the_first_allowances_of_many_gateways_do_not_meet_at_a_fresh_instance():
+    sent = 0
+    for seed in range(200):
+        gateway = Choice(startup(), seed=seed, now=0)
+        fleet = [*(entry(n) for n in range(1, 10)), entry(10, started=0)]
+        gateway.on_list(0, fleet, whole=True, answers=True)
+        cold = gateway.fleet.index[10]
+        for n in range(5):
+            gateway.on_rpc(n, f"r{n}", "look", 4 * SECOND, None, "", None)
+            if gateway._cold_room(n, cold, 1.0):
+                gateway.fleet.cold_tokens[cold] -= 1.0
+                sent += 1
+    assert 0 < sent <= 5 * 200 * 2.0 * 0.3 / 10
