Shed by chance with late answers; two refusals as full end an RPC

Covers any fleet-wide slowness seen by a gateway with few picks; might hurt where late answers come from a few instances only.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -48,6 +48,9 @@
 COLD_SHARE, SERVED_MEMORY = 0.6, 10 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
+# Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
+SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_MOST, FULL_MOST = 0.1, 0.02, 10 * SECOND, 0.9, 2
+
 SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
 RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
 TOOK_WEIGHT, TOOK_START = 0.05, 0.25
@@ -76,6 +79,7 @@
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.others_mean = 0.0
+        self.shed, self.shed_at, self.utilities = 0.0, now, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
@@ -358,14 +362,15 @@
         queue = [rpc for rpc in self.waiting if not rpc.ended]
         queue.sort(key=lambda rpc: (-rpc.utility, rpc.arrived))
         self.waiting = []
-        full: set[int] = set()
+        crowded: set[int] = set()
         for rpc in queue:
-            spent = len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
-            if spent or not self._may_pick(now, rpc):
+            full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
+            spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
+            if spent or (rpc.arrived == now and self._sheds(now, rpc.utility)) or not self._may_pick(now, rpc):
                 yield self._final(rpc)
                 continue
             fresh = not rpc.picks
-            i = None if fresh and rpc.method in full else self._target(now, rpc)
+            i = None if fresh and rpc.method in crowded else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
             elif now + self.took[rpc.method] > rpc.soft_deadline:
@@ -373,7 +378,18 @@
             else:
                 self.waiting.append(rpc)
                 if fresh:
-                    full.add(rpc.method)
+                    crowded.add(rpc.method)
+
+    def _sheds(self, now: int, utility: float) -> bool:
+        """Overload seen by a gateway too small for limits to bind: RPCs go by chance, low utility first."""
+        self._weigh_shed(now, 0.0)
+        rank = sum(other < utility for other in self.utilities) / len(self.utilities)
+        self.utilities.append(utility)
+        return self.random.random() < min(SHED_MOST, 2 * self.shed * (1 - rank))
+
+    def _weigh_shed(self, now: int, step: float) -> None:
+        shed = self.shed * exp((self.shed_at - now) / SHED_MEMORY)
+        self.shed, self.shed_at = max(0.0, shed + (step * (1 - shed) if step > 0 else step)), now
 
     def _send(self, now: int, rpc: Rpc, i: int) -> tuple:
         fleet, build = self.fleet, self.fleet.build[i]
@@ -461,7 +477,7 @@
             return True
         part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / self.fleet_size
         part *= (self.served.amount + 0.5) / (self.asked.amount + 1.0)
-        if fleet.cold_mark[i] < 0.0:  # The first allowance is a chance: hundreds of whole ones would meet here.
+        if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole first allowances would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
         earned = part * (self.work_taken - fleet.cold_mark[i])
         fleet.cold_tokens[i] = min(1.0, fleet.cold_tokens[i] + earned)
@@ -530,6 +546,9 @@
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
             fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
+        late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.soft_deadline)
+        if late or outcome == OK:
+            self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
         used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
         if outcome == OK and took < EARLY_SHARE * soft and used:
             fleet.limit[i] = min(LIMIT_MOST, fleet.limit[i] + 1 / fleet.limit[i])
