Hear tallies and peers' counts in gateways with few outcomes; draw cold instances by size

Cause: twenty outcomes, or three failures, hardly ever come about at one RPC a second, so bad builds went on.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -16,17 +16,17 @@
 
 from linenbridge.interface import (
     ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
-    ON_TRIAL, PICK, PUSH_BACK, RELEASED, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN, ListEntry,
-    Startup,
+    ON_TRIAL, PICK, PUSH_BACK, RELEASED, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
+    ListEntry, Startup,
 )  # fmt: skip
-from linenbridge.state.counters import BuildRecord, CapBucket, DecayingRate
+from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, pack, unpack
 from linenbridge.state.fleet import Fleet
 from linenbridge.state.rpcs import Pick, Rpc
 
 MS, SECOND = 1_000, 1_000_000
 
 # The design's test. Failures: two p1 over a floor of 0.01. Slowness is the same sum over another bit.
-P0_FLOOR, P1_STEPS, P0_PRIOR = 0.01, {"failed": 0.05, "failed much": 0.15}, 20
+P0_FLOOR, P0_MOST, P1_STEPS, P0_PRIOR = 0.01, 0.8, {"failed": 0.05, "failed much": 0.15}, 20
 SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
 PART = 1.2
@@ -35,6 +35,8 @@
 SEND_SHARE = 0.9
 FLEET_P0, FLEET_P0_MOST, FLEET_P1, UNREACHED_MEMORY = 0.3, 0.5, 0.9, 5 * SECOND
 RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH = 60, 200, 10
+# Others' counts, for a gateway with too few outcomes of its own: tallies of late, messages to some peers.
+TALLY_STALE, TIMES_STEP, TIMES_SPREAD, TIMES_CLIP, TELL_EVERY, PEERS = 4, 1.0, 2.0, 4.0, 1 * SECOND, 8
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
@@ -45,11 +47,12 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_SHARE, SERVED_MEMORY = 0.6, 10 * SECOND
+COLD_SHARE, FLEET_MEMORY = 0.6, 10 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
-SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_MOST, FULL_MOST = 0.1, 0.02, 10 * SECOND, 0.9, 2
+SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_FREE, SHED_MOST = 0.1, 0.02, 10 * SECOND, 0.25, 0.9
+FULL_MOST = 2
 
 SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
 RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
@@ -73,8 +76,7 @@
         self.sweep_at = now
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.watch_wait = LIST_RETRY
-        self.work_taken, self.fleet_size = 0.0, 0.0
-        self.asked, self.served = DecayingRate(SERVED_MEMORY), DecayingRate(SERVED_MEMORY)
+        self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, now
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
@@ -95,6 +97,11 @@
         self.alarms: set[tuple[int, str]] = set()
         self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
         self.moot = (-1, -1)
+        # Others' counts: when the last tally came, what peers told, what this gateway tells them.
+        self.born, self.tallied_at, self.sharing = now, -(1 << 60), False
+        self.token, self.tell_at, self.news = self.random.randrange(1 << 16), now, False
+        self.told: dict[tuple[int, int], Counts] = {}
+        self.heard: dict[tuple[int, int, int, int], Counts] = {}
 
     # ---- inputs: they only update what is known --------------------------------------------------
 
@@ -102,7 +109,9 @@
         self.fleet.update(entries, whole, GAP_START, LIMIT_START)
         if answers:
             self.watch_wait = LIST_RETRY
-        self.fleet_size = max(self.fleet_size, sum(self.fleet.size[i] for i in self.fleet.ready))
+        ready = sum(self.fleet.size[i] for i in self.fleet.ready)
+        keep = exp((self.listed_at - now) / FLEET_MEMORY) if self.fleet_size else 0.0
+        self.fleet_size, self.listed_at = self.fleet_size * keep + ready * (1 - keep), now
         builds = [self.fleet.build[i] for i in self.fleet.ready]
         if builds:
             self.lowest = min(builds) if self.lowest < 0 else min(self.lowest, *builds)
@@ -125,9 +134,6 @@
             utility *= self.allow.over_share_utility
         self.taken[m] += 1
         self.taken[-1] += 1
-        self.work_taken += cost
-        self.asked.add(now, 1.0)
-        self.served.add(now, 0.0)
         end = now + ttl
         taken = Rpc(rpc, m, now, min(now + table.soft_deadline, end), end, cost, utility, key)
         self.rpcs[rpc] = taken
@@ -196,8 +202,32 @@
         self.moot = (-1, -1)
         self._judge(build)
 
-    def on_tally(self, now: int, build: int, method: str, picks: int, failed: int, took: int) -> None:
-        """The platform's counts are everybody's outcomes, ours among them: not evidence of our own."""
+    def on_tally(
+        self, now: int, build: int, method: str, picks: int, failed: int, took: int, ended: int
+    ) -> None:
+        """The platform's counts: everybody's outcomes, ours among them, so they stand in for ours. They can't
+        tell a time-out from an error: without an earlier instance to compare with, they are not taken."""
+        m = self.row.get(method)
+        if m is None or not 0 <= failed <= picks or not self._few(now) or not self._comparable(build):
+            return
+        self.tallied_at = now
+        at = ended - self.plan.tally_period // 2
+        ages = [self._warmth(i, at) for i in self.fleet.ready
+                if self.fleet.build[i] == build and self.fleet.started[i] < at]  # fmt: skip
+        cold = sum(1 / warmth for warmth in ages) / len(ages) if ages else 1.0
+        served = picks - failed
+        self._hear(build, m, Counts(picks, failed, served, round(served * took / cold)), LEAST_THRESHOLD)
+
+    def on_peer(self, now: int, peer: int, words: bytes) -> None:
+        """A peer's own outcomes, counted from its start: repeats, gaps and late words count nothing twice."""
+        for token, build, m, counts in unpack(words, len(self.methods)):
+            key = (peer, token, build, m)
+            before = self.heard.get(key, Counts(0, 0, 0, 0))
+            fresh = Counts(*(new - old for new, old in zip(counts, before, strict=True)))
+            if min(fresh) >= 0 and fresh.picks:
+                self.heard[key] = counts
+                if self._few(now):
+                    self._hear(build, m, fresh, 1e9)
 
     def on_flag(self, now: int, instance: int, method: str) -> None:
         i = self.fleet.index.get(instance)
@@ -209,7 +239,7 @@
     def _judge(self, build: int) -> None:
         """A later build starts with clean sums."""
         if build > self.judged:
-            self.judged, self.outcomes = build, 0
+            self.judged, self.outcomes, self.sharing = build, 0, False
             self.before.clear()
             for m, method in enumerate(self.methods):
                 times = record.times.values if (record := self._earlier(m)) else ()
@@ -229,18 +259,65 @@
             self.unreached_at = now
         if pick.build < self.judged and (outcome == OK or (outcome == TIMED_OUT and not silent)):
             self._count_fleet(now, pick, rpc.method, took)
-        if outcome in (OK, ERROR) or (outcome == TIMED_OUT and not silent and self._comparable(pick.build)):
+        timed_out = outcome == TIMED_OUT and not silent and self._comparable(pick.build)
+        shows = outcome in (OK, ERROR) or timed_out
+        if shows and self.allow.may_tell and self._few(now):
+            warm = outcome == OK and self._warmth(pick.instance, pick.sent) >= 1.0
+            counts = Counts(1, int(outcome != OK), int(warm), took * warm)
+            self._hear(pick.build, rpc.method, counts, 1e9)
+            told = self.told.get((pick.build, rpc.method), Counts(0, 0, 0, 0))
+            self.told[pick.build, rpc.method] = Counts(*(a + b for a, b in zip(told, counts, strict=True)))
+            self.news = self.news or pick.build == self.judged
+        elif shows and now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
             self._count(pick.instance, pick.build, rpc.method, outcome != OK)
-            if pick.build == self.judged:
-                self.outcomes += 1
+            self.outcomes += pick.build == self.judged
         if outcome == OK:
-            self.served.add(now, 1.0)
             binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
             if binds and rpc.key is not None:
                 self.moved[rpc.key] = max(pick.build, self.moved.get(rpc.key, 0))
             self.took[rpc.method] += (took - self.took[rpc.method]) * TOOK_WEIGHT
             self._count_time(now, pick, rpc.method, took)
 
+    def _few(self, now: int) -> bool:
+        """Whether this gateway takes too little for twenty outcomes within the wait before 'on'."""
+        return self.taken[-1] * ON_WAIT < ON_OUTCOMES * max(ON_WAIT, now - self.born)
+
+    def _hear(self, build: int, m: int, counts: Counts, most: float) -> None:
+        """The same sums over counts. One period's counts give at most `most`: a moment is not the build. All
+        gateways hear much the same, so their alarms are one: its level answers for all the back votes."""
+        if build != self.judged and build not in self.fleet.build:
+            return
+        record = self._record(build, m)
+        if build == self.judged and self.lowest < build:
+            self.sharing, self.outcomes = True, self.outcomes + counts.picks
+            p0 = self._p0(m)
+            for bit, step in P1_STEPS.items():
+                up, down = log((p0 + step) / p0), log((1 - p0 - step) / (1 - p0))
+                z = counts.failed * up + (counts.picks - counts.failed) * down
+                self._sum((m, bit), min(z, most), self._level((p0 + step) * up + (1 - p0 - step) * down), p0)
+            usual = earlier.mean if (earlier := self._earlier(m)) else 0.0
+            if counts.served and usual and self._comparable(build):
+                ratio = min(counts.time / counts.served / usual, TIMES_CLIP)
+                z = counts.served * TIMES_STEP * (ratio - 1 - TIMES_STEP / 2) / TIMES_SPREAD
+                self._sum((m, "slow"), min(z, most), self._level(0.0), ratio)
+        record.hear(*counts)
+
+    def _tell(self, now: int) -> Iterator[tuple]:
+        """Own outcomes to the next peers by number, to fewer of them the larger the build's share."""
+        on_trial = self.build < self.judged or self.phase in (ON_TRIAL, RELEASED)
+        if not (self.allow.may_tell and self.news and on_trial and now >= self.tell_at and self._few(now)):
+            return
+        self.news, self.tell_at = False, now + int(TELL_EVERY * self.random.uniform(0.5, 1.5))
+        builds = sorted({build for build, _ in self.told})[-2:]
+        words = pack(self.token, builds, len(self.methods), self.told)
+        gateways, share = self.allow.gateways, self.plan.shares[self._stage_seen()[1]]
+        count = ceil(PEERS / share)
+        if count >= gateways - 1:
+            yield TELL, None, words
+        else:
+            for n in range(count):
+                yield TELL, (self.allow.number + 1 + n) % gateways, words
+
     def _record(self, build: int, m: int) -> BuildRecord:
         return self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH))
 
@@ -253,12 +330,15 @@
         self._record(build, m).add(failed)
         if build != self.judged or self.lowest >= build:
             return
-        earlier = self._earlier(m)
-        p0 = P0_FLOOR
-        if earlier:
-            p0 = max(p0, (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR))
         for bit, step in P1_STEPS.items():
-            self._add(i, m, bit, failed, min(p0, 0.8), step)
+            self._add(i, m, bit, failed, self._p0(m), step)
+
+    def _p0(self, m: int) -> float:
+        earlier = self._earlier(m)
+        if earlier is None:
+            return P0_FLOOR
+        p0 = (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR)
+        return min(max(P0_FLOOR, p0), P0_MOST)
 
     def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
         """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
@@ -297,7 +377,7 @@
         the build's instances, whether the sick ones fail fast, crawl or sit on a shared machine."""
         p1 = p0 + step
         up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
-        level = max(LEAST_THRESHOLD, H * (p1 * up + (1 - p1) * down))
+        level = self._level(p1 * up + (1 - p1) * down)
         key = (m, bit)
         like = sum(self.fleet.build[j] == self.fleet.build[i] for j in self.fleet.ready)
         parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
@@ -305,15 +385,23 @@
             needed = ceil(sqrt(max(1, like)))
             up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + up
-        w = self.sums[key] = before + (up if hit else down)
+        w = self._sum(key, up if hit else down, level, p0)
         if not hit:
             self.parts[key] = {j: part * w / before for j, part in parts.items()} if w > 0.0 else {}
+
+    def _level(self, divergence: float) -> float:
+        shared = log(max(1, self.plan.back_votes)) if self.sharing else 0.0
+        return max(LEAST_THRESHOLD, H * divergence) + shared
+
+    def _sum(self, key: tuple[int, str], z: float, level: float, p0: float) -> float:
+        w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + z
         if w > level and key not in self.alarms:
             self.alarms.add(key)
             self._log_sum("alarm", key, w, level, p0)
         elif w <= HOLD_LEVEL * level and key in self.alarms:
             self.alarms.discard(key)
             self._log_sum("clear", key, w, level, p0)
+        return w
 
     def _log_sum(self, what: str, key: tuple[int, str], w: float, level: float, p0: float) -> None:
         where = f"{self.methods[key[0]].name} {key[1]} build {self.judged}"
@@ -345,6 +433,7 @@
             yield from self._doubt(now)
         yield from self._place(now)
         yield from self._ballot(now)
+        yield from self._tell(now)
         while self.notes:
             yield (LOG, self.notes.popleft())
 
@@ -366,10 +455,12 @@
         for rpc in queue:
             full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
             spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
-            if spent or (rpc.arrived == now and self._sheds(now, rpc.utility)) or not self._may_pick(now, rpc):
+            spent = spent or (rpc.arrived == now and self._sheds(now, rpc.utility))
+            if spent or not self._may_pick(now, rpc):
                 yield self._final(rpc)
                 continue
             fresh = not rpc.picks
+            self.work_taken += rpc.cost * (rpc.arrived == now)
             i = None if fresh and rpc.method in crowded else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
@@ -385,7 +476,7 @@
         self._weigh_shed(now, 0.0)
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
-        return self.random.random() < min(SHED_MOST, 2 * self.shed * (1 - rank))
+        return self.random.random() < min(SHED_MOST, 2 * (self.shed - SHED_FREE) * (1 - rank))
 
     def _weigh_shed(self, now: int, step: float) -> None:
         shed = self.shed * exp((self.shed_at - now) / SHED_MEMORY)
@@ -469,14 +560,12 @@
     def _cold_room(self, now: int, i: int, cost: float) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
         size and warmth give it, times a share of the allowed multiple; so all gateways together keep it.
-        Earned by RPC taken, not by time: a rate measured from few arrivals runs high at small gateways. And by
-        the share that ends ok: under overload and retries what is taken says nothing of what can be done. The
-        fleet counts at its largest: in place, half of it may drain while the other half starts."""
+        Earned by RPC placed, not by time: a rate measured from few arrivals runs high at small gateways, and
+        what is shed loads nobody. The fleet counts as of late: in place, half may drain as half starts."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
         part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / self.fleet_size
-        part *= (self.served.amount + 0.5) / (self.asked.amount + 1.0)
         if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole first allowances would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
         earned = part * (self.work_taken - fleet.cold_mark[i])
@@ -521,7 +610,7 @@
         others = fleet.others[i] - self.others_mean * fleet.size[i]
         others = self.others_mean * fleet.size[i] + others * exp((fleet.reported_at[i] - now) / REPORT_MEMORY)
         sound = max(FAIL_LEAST, 1 - self._failing(i, now))
-        return (fleet.out[i] + others + 1) / (fleet.size[i] * self._warmth(i, now) * sound * sound)
+        return (fleet.out[i] + others + 1) / (fleet.size[i] * sound * sound)
 
     def _failing(self, i: int, now: int) -> float:
         """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
@@ -633,7 +722,8 @@
             return
         if wanted != self.cast:
             where = f"build {wanted[0]} stage {wanted[1]} told {self.stage}"
-            self.notes.append(f"vote {wanted[2]} {where} outcomes {self.outcomes}")
+            highest = max(self.sums.values(), default=0.0)
+            self.notes.append(f"vote {wanted[2]} {where} outcomes {self.outcomes} W {highest:.1f}")
         self.cast, self.vote_out = wanted, True
         life = min(RENEW, int(self.plan.vote_stands * RENEW / (6 * SECOND)))
         self.vote_at = now + (int(life * self.random.uniform(0.5, 1.0)) if wanted[2] == ON else life)
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -11,6 +11,7 @@
     (PUSH_BACK, rpc, retry_after)        final answer: trying again is harmless
     (ABORT, rpc)                         final answer: nothing is promised
     (VOTE, build, stage, verdict)        cast or take back this gateway's vote
+    (TELL, peer, words)                  send a few bytes to one peer by number, or to all where it is None
     (WATCH,)                             ask for changes of the instance list
     (LOG, text)                          one line for the people on call
 """
@@ -21,7 +22,7 @@
 from typing import NamedTuple, Protocol
 
 PICK, CANCEL, PUSH_BACK, ABORT = "pick", "cancel", "push_back", "abort"
-VOTE, WATCH, LOG = "vote", "watch", "log"
+VOTE, TELL, WATCH, LOG = "vote", "tell", "watch", "log"
 
 IDEMPOTENT, TOKENED, NON_IDEMPOTENT = "idempotent", "tokened", "non_idempotent"
 OK, ERROR, FULL, TIMED_OUT = "ok", "error", "full", "timed_out"
@@ -58,6 +59,8 @@
     spare_picks: float
     forward_only: bool
     vote_stands: int
+    back_votes: int
+    tally_period: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +77,9 @@
     fall_multiple: float
     by_work: bool
     over_share_utility: float
+    number: int
+    gateways: int
+    may_tell: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,7 +120,10 @@
     def on_stage(
         self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool, moot: bool
     ) -> None: ...
-    def on_tally(self, now: int, build: int, method: str, picks: int, failed: int, took: int) -> None: ...
+    def on_tally(
+        self, now: int, build: int, method: str, picks: int, failed: int, took: int, ended: int
+    ) -> None: ...
+    def on_peer(self, now: int, peer: int, words: bytes) -> None: ...
     def on_flag(self, now: int, instance: int, method: str) -> None: ...
     def next_decision(self, now: int) -> tuple | None: ...
     def wake_at(self) -> int | None: ...
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -3,7 +3,44 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterator, Sequence
 from math import exp
+from struct import Struct
+from typing import NamedTuple
+
+HEAD, ROW = Struct("<HH"), Struct("<HHHI")
+
+
+class Counts(NamedTuple):
+    """Outcomes of one method at one build: how many, how many failed, how many timed, their time in all."""
+
+    picks: int
+    failed: int
+    served: int
+    time: int
+
+
+def pack(token: int, builds: Sequence[int], methods: int, counts: dict[tuple[int, int], Counts]) -> bytes:
+    """A gateway's counts since its start, for its peers; times in milliseconds."""
+    words = bytearray()
+    for build in builds:
+        words += HEAD.pack(token, build)
+        for m in range(methods):
+            row = counts.get((build, m), Counts(0, 0, 0, 0))
+            picks, failed, served = (min(figure, 0xFFFF) for figure in row[:3])
+            words += ROW.pack(picks, failed, served, min(row.time // 1000, 0xFFFFFFFF))
+    return bytes(words)
+
+
+def unpack(words: bytes, methods: int) -> Iterator[tuple[int, int, int, Counts]]:
+    """Token, build, method and counts; what is cut or does not add up is passed over."""
+    size = HEAD.size + methods * ROW.size
+    for start in range(0, len(words) - size + 1, size):
+        token, build = HEAD.unpack_from(words, start)
+        for m in range(methods):
+            picks, failed, served, time = ROW.unpack_from(words, start + HEAD.size + m * ROW.size)
+            if failed + served <= picks:
+                yield token, build, m, Counts(picks, failed, served, time * 1000)
 
 
 class CapBucket:
@@ -55,8 +92,18 @@
     def __init__(self, memory: int, keep: int, refresh: int) -> None:
         self.outcomes, self.failed = 0.0, 0.0
         self.times = Recent(keep, refresh)
-        self.memory, self.slow = memory, 0.0
+        self.memory, self.slow, self.mean = memory, 0.0, 0.0
 
     def add(self, failed: bool) -> None:
         keep = 1 - 1 / self.memory
         self.outcomes, self.failed = self.outcomes * keep + 1, self.failed * keep + failed
+
+    def hear(self, picks: int, failed: int, served: int, time: int) -> None:
+        """The same from counts, and the mean time."""
+        keep = (1 - 1 / self.memory) ** picks
+        weight = (1 - keep) / picks * self.memory if picks else 0.0
+        self.outcomes = self.outcomes * keep + picks * weight
+        self.failed = self.failed * keep + failed * weight
+        if served:
+            part = 1 - (1 - 1 / self.memory) ** served if self.mean else 1.0
+            self.mean += (time / served - self.mean) * part
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -50,6 +50,8 @@
             spare_picks=plan.spare_tries,
             forward_only=plan.forward_only,
             vote_stands=micros(plan.vote_stands),
+            back_votes=plan.back_votes,
+            tally_period=micros(plan.metrics_period),
         ),
         allowances=face.Allowances(
             max_picks=allow.max_attempts,
@@ -62,6 +64,9 @@
             fall_multiple=rules.fall_multiple,
             by_work=info.value_by == "work",
             over_share_utility=info.over_share_worth,
+            number=info.slot_no,
+            gateways=info.balancers,
+            may_tell=allow.may_tell,
         ),
     )
 
@@ -78,7 +83,7 @@
             "announce": self.announce, "new_request": self.new_request, "expired": self.expired,
             "release_state": self.release_state, "metrics": self.metrics, "first": self.first,
             "reply": self.reply, "objection": self.objection, "elapsed": self.elapsed,
-            "inbox": self.unused, "checked": self.unused,
+            "inbox": self.inbox, "checked": self.unused,
         }  # fmt: skip
 
     def batch(self, batch: wire.Batch) -> list[dict[str, Any]]:
@@ -126,7 +131,7 @@
         if gateway is None:
             raise ValueError(f"gateway_id {message.gateway_id} was never attached")
         profile = getattr(message, "profile", None)
-        if profile is not None and profile not in gateway.row:
+        if profile is not None and profile not in gateway.row and name != "metrics":
             raise ValueError(f"profile {profile!r} is not among the settings")
         self.handlers[name](gateway, message)
 
@@ -155,7 +160,15 @@
 
     def metrics(self, gateway: Choice, message: wire.Metrics) -> None:
         took = micros(message.delay_seen)
-        gateway.on_tally(self.now, message.rel, message.profile, message.n, message.lost, took)
+        ended = self.now - micros(message.since)
+        gateway.on_tally(self.now, message.rel, message.profile, message.n, message.lost, took, ended)
+
+    def inbox(self, gateway: Choice, message: wire.Inbox) -> None:
+        try:
+            words = bytes.fromhex(message.contents)
+        except ValueError:
+            return
+        gateway.on_peer(self.now, message.src, words)
 
     def first(self, gateway: Choice, message: wire.First) -> None:
         gateway.on_stream(self.now, message.handle, message.hop)
@@ -173,7 +186,7 @@
             del self.armed[message.gateway_id]
 
     def unused(self, gateway: Choice, message: Any) -> None:
-        """Peers' words and probe results: this gateway sends neither, so nothing hangs on them."""
+        """Probe results: this gateway sends no probes, so nothing hangs on them."""
 
     def pull(self, gateway_id: int, steps: list[dict[str, Any]]) -> None:
         gateway = self.gateways[gateway_id]
@@ -207,6 +220,8 @@
             name, fields = "abort", {"handle": rpc}
         case (face.VOTE, build, stage, verdict):
             name, fields = "ballot", {"rel": build, "wave": stage, "code": verdict}
+        case (face.TELL, peer, words):
+            name, fields = "post", {"peer": "*" if peer is None else peer, "contents": words.hex()}
         case (face.WATCH,):
             name, fields = "listen", {"active": True}
         case (face.LOG, text):
--- a/linenbridge/wirehost/messages.py
+++ b/linenbridge/wirehost/messages.py
@@ -18,6 +18,8 @@
     tenants: list[Tenant] = []
     value_by: str = "request"
     over_share_worth: float = 1.0
+    slot_no: int = 0
+    balancers: int = 1
 
 
 class Profile(Struct):
@@ -45,6 +47,8 @@
     spare_tries: float
     forward_only: bool
     vote_stands: float
+    back_votes: int = 1
+    metrics_period: float = 0.0
 
 
 class Permissions(Struct):
@@ -53,6 +57,7 @@
     may_cancel: bool
     retry_after: bool
     max_retry_after: float
+    may_tell: bool = False
 
 
 class Rules(Struct):
@@ -120,6 +125,7 @@
     n: int = 0
     lost: int = 0
     delay_seen: float = 0.0
+    since: float = 0.0
 
 
 class Down(Struct):
@@ -144,6 +150,8 @@
 
 class Inbox(Struct):
     gateway_id: int
+    src: int
+    contents: str = ""
 
 
 class Checked(Struct):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,12 +19,13 @@
     )
     plan = dict(
         by_timer=False, in_place=False, shares=(0.17, 1.0), caps=(0.2, 1.0), closed_stages=1,
-        per_method=False, spare_picks=2.0, forward_only=False, vote_stands=6 * SECOND,
+        per_method=False, spare_picks=2.0, forward_only=False, vote_stands=6 * SECOND, back_votes=2,
+        tally_period=0,
     )  # fmt: skip
     allow = dict(
         max_picks=3, second_copies=True, may_cancel=True, retry_after_most=SECOND, asks_for_list=False,
         cold_from=0.3, cold=4 * SECOND, fall_multiple=2.0, by_work=False,
-        over_share_utility=0.1,
+        over_share_utility=0.1, number=0, gateways=4, may_tell=False,
     )  # fmt: skip
     for name, value in changes.items():
         (plan if name in plan else allow)[name] = value
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -163,7 +163,7 @@
         gateway.on_list(0, fleet, whole=True, answers=True)
         cold = gateway.fleet.index[10]
         for n in range(5):
-            gateway.on_rpc(n, f"r{n}", "look", 4 * SECOND, None, "", None)
+            gateway.work_taken += 1.0
             if gateway._cold_room(n, cold, 1.0):
                 gateway.fleet.cold_tokens[cold] -= 1.0
                 sent += 1
