--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -11,7 +11,7 @@
 import heapq
 from collections import deque
 from collections.abc import Iterator
-from math import ceil, exp, log, sqrt
+from math import ceil, exp, inf, log, sqrt
 from random import Random
 
 from linenbridge.interface import (
@@ -25,18 +25,17 @@
 
 MS, SECOND = 1_000, 1_000_000
 
-# The design's test. Failures: two p1 over a floor of 0.01. Slowness is the same sum over another bit.
+# The design's test. Failures: two p1 over a floor of 0.01. Slowness: the same sum, times for a bit.
 P0_FLOOR, P0_MOST, P1_STEPS, P0_PRIOR = 0.01, 0.8, {"failed": 0.05, "failed much": 0.15}, 20
-SLOW_QUANTILE, SLOW_STEP, SLOW_MOST, SLOW_NEEDS, FRESH = 0.9, 0.5, 0.3, 30, 2 * SECOND
+SLOW_STEP, SLOW_SPREAD, SLOW_CLIP, SLOW_DIVERGENCE = 1.0, 2.0, 4.0, 0.75
 LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
 PART = 1.2
 ON_OUTCOMES, ON_MOST, ON_WAIT = 20, 0.5, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
 SEND_SHARE = 0.9
-FLEET_P0, FLEET_P0_MOST, FLEET_P1, UNREACHED_MEMORY = 0.3, 0.5, 0.9, 5 * SECOND
-RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH = 60, 200, 10
+RECORD_MEMORY = 60
 # Others' counts, for a gateway with too few outcomes of its own: tallies of late, messages to some peers.
-TALLY_STALE, TIMES_STEP, TIMES_SPREAD, TIMES_CLIP, TELL_EVERY, PEERS = 4, 1.0, 2.0, 4.0, 1 * SECOND, 8
+TALLY_STALE, TELL_EVERY, PEERS = 4, 1 * SECOND, 8
 
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
@@ -47,7 +46,7 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_SHARE, FLEET_MEMORY = 0.6, 10 * SECOND
+COLD_ASIDE, COLD_LEAST, FLEET_MEMORY = 1.1, 0.3, 30 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
@@ -91,7 +90,6 @@
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
         self.judged, self.outcomes, self.withdrawn = -1, 0, set()
-        self.trial_at, self.unreached_at, self.before = -FRESH, -UNREACHED_MEMORY, {}
         self.sums: dict[tuple[int, str], float] = {}
         self.parts: dict[tuple[int, str], dict[int, float]] = {}
         self.alarms: set[tuple[int, str]] = set()
@@ -215,197 +213,120 @@
         ages = [self._warmth(i, at) for i in self.fleet.ready
                 if self.fleet.build[i] == build and self.fleet.started[i] < at]  # fmt: skip
         cold = sum(1 / warmth for warmth in ages) / len(ages) if ages else 1.0
-        served = picks - failed
-        self._hear(build, m, Counts(picks, failed, served, round(served * took / cold)), LEAST_THRESHOLD)
+        counts = Counts(picks, failed, picks - failed, round((picks - failed) * took / cold))
+        self._hear(build, m, counts, most=LEAST_THRESHOLD)
 
     def on_peer(self, now: int, peer: int, words: bytes) -> None:
         """A peer's own outcomes, counted from its start: repeats, gaps and late words count nothing twice."""
         for token, build, m, counts in unpack(words, len(self.methods)):
             key = (peer, token, build, m)
-            before = self.heard.get(key, Counts(0, 0, 0, 0))
-            fresh = Counts(*(new - old for new, old in zip(counts, before, strict=True)))
+            fresh = counts.plus(self.heard.get(key, Counts()), -1)
             if min(fresh) >= 0 and fresh.picks:
                 self.heard[key] = counts
                 if self._few(now):
-                    self._hear(build, m, fresh, 1e9)
+                    self._hear(build, m, fresh)
 
     def on_flag(self, now: int, instance: int, method: str) -> None:
         i = self.fleet.index.get(instance)
         if i is not None:
-            self._count(i, self.fleet.build[i], self.row[method], True)
+            self._hear(self.fleet.build[i], self.row[method], Counts(1, 1, 0, 0), i)
 
-    # ---- evidence: the design's sum, over own outcomes -------------------------------------------
+    # ---- evidence: the design's sum over counts, own ones first ----------------------------------
 
     def _judge(self, build: int) -> None:
         """A later build starts with clean sums."""
         if build > self.judged:
             self.judged, self.outcomes, self.sharing = build, 0, False
-            self.before.clear()
-            for m, method in enumerate(self.methods):
-                times = record.times.values if (record := self._earlier(m)) else ()
-                if len(times) >= SLOW_NEEDS:
-                    self.before[m] = sum(took > method.soft_deadline for took in times) / len(times)
             self.sums.clear()
             self.parts.clear()
             self.alarms.clear()
 
+    def _few(self, now: int) -> bool:
+        """Whether this gateway takes too little for twenty outcomes within the wait before 'on'."""
+        return self.taken[-1] * ON_WAIT < ON_OUTCOMES * max(ON_WAIT, now - self.born)
+
+    def _comparable(self, build: int) -> bool:
+        """Slowness and time-outs tell the build from the hour only while an earlier instance is ready."""
+        return build < self.judged or any(self.fleet.build[i] < self.judged for i in self.fleet.ready)
+
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
-        throughout, tells of the instance: a crash, a cut or a slow machine is no fault of the build."""
-        silent = self.fleet.last_reply[pick.instance] < pick.sent
-        if outcome == OK and pick.build == self.judged:
-            self.trial_at = now
-        if outcome in (UNREACHED, BROKEN):
-            self.unreached_at = now
-        if pick.build < self.judged and (outcome == OK or (outcome == TIMED_OUT and not silent)):
-            self._count_fleet(now, pick, rpc.method, took)
+        throughout, tells of the instance; times of cold instances tell of their start."""
+        silent, key = self.fleet.last_reply[pick.instance] < pick.sent, (pick.build, rpc.method)
         timed_out = outcome == TIMED_OUT and not silent and self._comparable(pick.build)
-        shows = outcome in (OK, ERROR) or timed_out
-        if shows and self.allow.may_tell and self._few(now):
+        if outcome in (OK, ERROR) or timed_out:
             warm = outcome == OK and self._warmth(pick.instance, pick.sent) >= 1.0
             counts = Counts(1, int(outcome != OK), int(warm), took * warm)
-            self._hear(pick.build, rpc.method, counts, 1e9)
-            told = self.told.get((pick.build, rpc.method), Counts(0, 0, 0, 0))
-            self.told[pick.build, rpc.method] = Counts(*(a + b for a, b in zip(told, counts, strict=True)))
+            self.told[key] = self.told.get(key, Counts()).plus(counts)
             self.news = self.news or pick.build == self.judged
-        elif shows and now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
-            self._count(pick.instance, pick.build, rpc.method, outcome != OK)
-            self.outcomes += pick.build == self.judged
+            if now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
+                self._hear(*key, counts, pick.instance)
         if outcome == OK:
             binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
             if binds and rpc.key is not None:
                 self.moved[rpc.key] = max(pick.build, self.moved.get(rpc.key, 0))
             self.took[rpc.method] += (took - self.took[rpc.method]) * TOOK_WEIGHT
-            self._count_time(now, pick, rpc.method, took)
 
-    def _few(self, now: int) -> bool:
-        """Whether this gateway takes too little for twenty outcomes within the wait before 'on'."""
-        return self.taken[-1] * ON_WAIT < ON_OUTCOMES * max(ON_WAIT, now - self.born)
-
-    def _hear(self, build: int, m: int, counts: Counts, most: float) -> None:
-        """The same sums over counts. One period's counts give at most `most`: a moment is not the build. All
-        gateways hear much the same, so their alarms are one: its level answers for all the back votes."""
+    def _hear(self, build: int, m: int, counts: Counts, i: int | None = None, most: float = inf) -> None:
+        """Counts into the sums at the build judged: own ones one by one with their instance `i`, others' at
+        once. A tally gives `most`: one moment is not the build. A build that needs more work fails nothing:
+        the same sum over its times, in units of the earlier build's mean of late."""
         if build != self.judged and build not in self.fleet.build:
             return
-        record = self._record(build, m)
         if build == self.judged and self.lowest < build:
-            self.sharing, self.outcomes = True, self.outcomes + counts.picks
-            p0 = self._p0(m)
+            self.sharing, self.outcomes = self.sharing or i is None, self.outcomes + counts.picks
+            earlier, p0 = self._earlier(m), P0_FLOOR
+            if earlier:
+                p0 = (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR)
+                p0 = min(max(P0_FLOOR, p0), P0_MOST)
             for bit, step in P1_STEPS.items():
                 up, down = log((p0 + step) / p0), log((1 - p0 - step) / (1 - p0))
                 z = counts.failed * up + (counts.picks - counts.failed) * down
-                self._sum((m, bit), min(z, most), self._level((p0 + step) * up + (1 - p0 - step) * down), p0)
-            usual = earlier.mean if (earlier := self._earlier(m)) else 0.0
-            if counts.served and usual and self._comparable(build):
-                ratio = min(counts.time / counts.served / usual, TIMES_CLIP)
-                z = counts.served * TIMES_STEP * (ratio - 1 - TIMES_STEP / 2) / TIMES_SPREAD
-                self._sum((m, "slow"), min(z, most), self._level(0.0), ratio)
-        record.hear(*counts)
-
-    def _tell(self, now: int) -> Iterator[tuple]:
-        """Own outcomes to the next peers by number, to fewer of them the larger the build's share."""
-        on_trial = self.build < self.judged or self.phase in (ON_TRIAL, RELEASED)
-        if not (self.allow.may_tell and self.news and on_trial and now >= self.tell_at and self._few(now)):
-            return
-        self.news, self.tell_at = False, now + int(TELL_EVERY * self.random.uniform(0.5, 1.5))
-        builds = sorted({build for build, _ in self.told})[-2:]
-        words = pack(self.token, builds, len(self.methods), self.told)
-        gateways, share = self.allow.gateways, self.plan.shares[self._stage_seen()[1]]
-        count = ceil(PEERS / share)
-        if count >= gateways - 1:
-            yield TELL, None, words
-        else:
-            for n in range(count):
-                yield TELL, (self.allow.number + 1 + n) % gateways, words
-
-    def _record(self, build: int, m: int) -> BuildRecord:
-        return self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY, RECORD_KEEP, RECORD_REFRESH))
+                self._sum((m, bit), min(z, most), (p0 + step) * up + (1 - p0 - step) * down, i, p0)
+            if counts.served and earlier and earlier.mean and self._comparable(build):
+                ratio = min(counts.time / counts.served / earlier.mean, SLOW_CLIP)
+                z = counts.served * (ratio - 1 - SLOW_STEP / 2) * SLOW_STEP / SLOW_SPREAD
+                self._sum((m, "slow"), min(z, most), SLOW_DIVERGENCE, i, ratio)
+        self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY)).hear(counts)
 
     def _earlier(self, m: int) -> BuildRecord | None:
         """What is known of the build before the one judged."""
         known = [b for b, row in self.records if row == m and b < self.judged and b not in self.withdrawn]
         return self.records[max(known), m] if known else None
 
-    def _count(self, i: int, build: int, m: int, failed: bool) -> None:
-        self._record(build, m).add(failed)
-        if build != self.judged or self.lowest >= build:
-            return
-        for bit, step in P1_STEPS.items():
-            self._add(i, m, bit, failed, self._p0(m), step)
-
-    def _p0(self, m: int) -> float:
-        earlier = self._earlier(m)
-        if earlier is None:
-            return P0_FLOOR
-        p0 = (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR)
-        return min(max(P0_FLOOR, p0), P0_MOST)
-
-    def _count_time(self, now: int, pick: Pick, m: int, took: int) -> None:
-        """A build that needs more work fails nothing: the same sum over the bit 'slower than most earlier
-        times', p0 being the earlier build's own share of the present moment. Cold instances crowd early under
-        load: they are left out on both sides."""
-        if self._warmth(pick.instance, pick.sent) < 1.0:
-            return
-        own = self._record(pick.build, m)
-        record = self._earlier(m) if pick.build == self.judged else own
-        if record and len(record.times.values) >= SLOW_NEEDS and self._comparable(pick.build):
-            slow = took > record.times.quantile(SLOW_QUANTILE)
-            if pick.build == self.judged:
-                p0 = min(max(1 - SLOW_QUANTILE, record.slow), SLOW_MOST)
-                self._add(pick.instance, m, "slow", slow, p0, SLOW_STEP)
-            else:
-                record.slow += (slow - record.slow) / SLOW_NEEDS
-        own.times.add(took)
-
-    def _count_fleet(self, now: int, pick: Pick, m: int, took: int) -> None:
-        """A build can slow old and new in step, and then comparing them shows nothing: the same sum over the
-        bit 'past its soft deadline' at the earlier build while the trial answers, p0 the share before the
-        trial, p1 nearly all. Instances cut off or dead explain a slow fleet: it is not taken for a while."""
-        explained = now < self.unreached_at + UNREACHED_MEMORY or now > self.trial_at + FRESH
-        if m in self.before and not explained and self._warmth(pick.instance, pick.sent) >= 1.0:
-            p0 = min(max(FLEET_P0, self.before[m]), FLEET_P0_MOST)
-            late = took > self.methods[m].soft_deadline
-            self._add(pick.instance, m, "fleet late", late, p0, FLEET_P1 - p0)
-
-    def _comparable(self, build: int) -> bool:
-        """Slowness and time-outs tell the build from the hour only while an earlier instance is ready."""
-        return build < self.judged or any(self.fleet.build[i] < self.judged for i in self.fleet.ready)
-
-    def _add(self, i: int, m: int, bit: str, hit: bool, p0: float, step: float) -> None:
-        """W = max(0, W) + Z, the alarm above max(5, divergence x h), held above half that level. One sick
-        instance is not the build: its part in W is bounded, so that an alarm needs about the square root of
-        the build's instances, whether the sick ones fail fast, crawl or sit on a shared machine."""
-        p1 = p0 + step
-        up, down = log(p1 / p0), log((1 - p1) / (1 - p0))
-        level = self._level(p1 * up + (1 - p1) * down)
-        key = (m, bit)
-        like = sum(self.fleet.build[j] == self.fleet.build[i] for j in self.fleet.ready)
+    def _sum(self, key: tuple[int, str], z: float, divergence: float, i: int | None, ground: float) -> None:
+        """W = max(0, W) + Z, the alarm above max(5, divergence x h). Gateways that hear others hear much the
+        same, so their alarms are one: its level answers for all the back votes. One sick instance is not the
+        build: its part in W is bounded, so an alarm needs about the square root of the build's instances."""
+        level = max(LEAST_THRESHOLD, H * divergence)
+        level += log(max(1, self.plan.back_votes)) if self.sharing else 0.0
         parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
-        if hit:
-            needed = ceil(sqrt(max(1, like)))
-            up = max(0.0, min(up, PART * level / needed - parts.get(i, 0.0)))
-            parts[i] = parts.get(i, 0.0) + up
-        w = self._sum(key, up if hit else down, level, p0)
-        if not hit:
+        if i is not None and z > 0.0:
+            like = sum(self.fleet.build[j] == self.fleet.build[i] for j in self.fleet.ready)
+            z = max(0.0, min(z, PART * level / ceil(sqrt(max(1, like))) - parts.get(i, 0.0)))
+            parts[i] = parts.get(i, 0.0) + z
+        w = self.sums[key] = before + z
+        if z < 0.0:
             self.parts[key] = {j: part * w / before for j, part in parts.items()} if w > 0.0 else {}
+        if (w > level and key not in self.alarms) or (w <= HOLD_LEVEL * level and key in self.alarms):
+            self.alarms ^= {key}
+            what = "alarm" if key in self.alarms else "clear"
+            where = f"{self.methods[key[0]].name} {key[1]} build {self.judged}"
+            self.notes.append(f"{what} {where} W {w:.1f} level {level:.1f} ground {ground:.3f}")
 
-    def _level(self, divergence: float) -> float:
-        shared = log(max(1, self.plan.back_votes)) if self.sharing else 0.0
-        return max(LEAST_THRESHOLD, H * divergence) + shared
-
-    def _sum(self, key: tuple[int, str], z: float, level: float, p0: float) -> float:
-        w = self.sums[key] = max(0.0, self.sums.get(key, 0.0)) + z
-        if w > level and key not in self.alarms:
-            self.alarms.add(key)
-            self._log_sum("alarm", key, w, level, p0)
-        elif w <= HOLD_LEVEL * level and key in self.alarms:
-            self.alarms.discard(key)
-            self._log_sum("clear", key, w, level, p0)
-        return w
-
-    def _log_sum(self, what: str, key: tuple[int, str], w: float, level: float, p0: float) -> None:
-        where = f"{self.methods[key[0]].name} {key[1]} build {self.judged}"
-        self.notes.append(f"{what} {where} W {w:.1f} level {level:.1f} p0 {p0:.3f}")
+    def _tell(self, now: int) -> Iterator[tuple]:
+        """Own counts to the next peers by number; to fewer of them the larger the build's share."""
+        on_trial = self.build < self.judged or self.phase in (ON_TRIAL, RELEASED)
+        if not (self.allow.may_tell and self.news and on_trial and now >= self.tell_at):
+            return
+        self.news, self.tell_at = False, now + int(TELL_EVERY * self.random.uniform(0.5, 1.5))
+        words = pack(self.token, sorted({build for build, _ in self.told})[-2:], len(self.methods), self.told)
+        gateways, count = self.allow.gateways, ceil(PEERS / self.plan.shares[self._stage_seen()[1]])
+        if count >= gateways - 1:
+            yield TELL, None, words
+        else:
+            for n in range(1, count + 1):
+                yield TELL, (self.allow.number + n) % gateways, words
 
     # ---- decisions -------------------------------------------------------------------------------
 
@@ -559,13 +480,13 @@
 
     def _cold_room(self, now: int, i: int, cost: float) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
-        size and warmth give it, times a share of the allowed multiple; so all gateways together keep it.
+        size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
         Earned by RPC placed, not by time: a rate measured from few arrivals runs high at small gateways, and
         what is shed loads nobody. The fleet counts as of late: in place, half may drain as half starts."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
-        part = COLD_SHARE * self.allow.fall_multiple * warmth * fleet.size[i] / self.fleet_size
+        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth * fleet.size[i] / self.fleet_size
         if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole first allowances would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
         earned = part * (self.work_taken - fleet.cold_mark[i])
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator, Sequence
 from math import exp
 from struct import Struct
@@ -14,10 +13,13 @@
 class Counts(NamedTuple):
     """Outcomes of one method at one build: how many, how many failed, how many timed, their time in all."""
 
-    picks: int
-    failed: int
-    served: int
-    time: int
+    picks: int = 0
+    failed: int = 0
+    served: int = 0
+    time: int = 0
+
+    def plus(self, other: Counts, times: int = 1) -> Counts:
+        return Counts(*(a + times * b for a, b in zip(self, other, strict=True)))
 
 
 def pack(token: int, builds: Sequence[int], methods: int, counts: dict[tuple[int, int], Counts]) -> bytes:
@@ -26,7 +28,7 @@
     for build in builds:
         words += HEAD.pack(token, build)
         for m in range(methods):
-            row = counts.get((build, m), Counts(0, 0, 0, 0))
+            row = counts.get((build, m), Counts())
             picks, failed, served = (min(figure, 0xFFFF) for figure in row[:3])
             words += ROW.pack(picks, failed, served, min(row.time // 1000, 0xFFFFFFFF))
     return bytes(words)
@@ -69,41 +71,18 @@
         return self.amount * exp((self.at - now) / self.memory) * 1e6 / self.memory
 
 
-class Recent:
-    """The last few values and a quantile of them, worked out anew now and then."""
-
-    def __init__(self, keep: int, refresh: int) -> None:
-        self.values: deque[float] = deque(maxlen=keep)
-        self.refresh, self.fresh, self.ordered = refresh, 0, []
-
-    def add(self, value: float) -> None:
-        self.values.append(value)
-        self.fresh += 1
-
-    def quantile(self, share: float) -> float:
-        if self.fresh >= self.refresh or not self.ordered:
-            self.ordered, self.fresh = sorted(self.values), 0
-        return self.ordered[min(len(self.ordered) - 1, int(share * len(self.ordered)))]
-
-
 class BuildRecord:
-    """What this gateway's own RPCs of one method met at one build."""
-
-    def __init__(self, memory: int, keep: int, refresh: int) -> None:
-        self.outcomes, self.failed = 0.0, 0.0
-        self.times = Recent(keep, refresh)
-        self.memory, self.slow, self.mean = memory, 0.0, 0.0
-
-    def add(self, failed: bool) -> None:
-        keep = 1 - 1 / self.memory
-        self.outcomes, self.failed = self.outcomes * keep + 1, self.failed * keep + failed
-
-    def hear(self, picks: int, failed: int, served: int, time: int) -> None:
-        """The same from counts, and the mean time."""
-        keep = (1 - 1 / self.memory) ** picks
-        weight = (1 - keep) / picks * self.memory if picks else 0.0
-        self.outcomes = self.outcomes * keep + picks * weight
-        self.failed = self.failed * keep + failed * weight
-        if served:
-            part = 1 - (1 - 1 / self.memory) ** served if self.mean else 1.0
-            self.mean += (time / served - self.mean) * part
+    """What was met of one method at one build, of late: outcomes, failures and the mean time."""
+
+    def __init__(self, memory: int) -> None:
+        self.memory, self.outcomes, self.failed, self.mean = memory, 0.0, 0.0, 0.0
+
+    def hear(self, counts: Counts) -> None:
+        if counts.picks:
+            keep = (1 - 1 / self.memory) ** counts.picks
+            part = (1 - keep) * self.memory / counts.picks
+            self.outcomes = self.outcomes * keep + counts.picks * part
+            self.failed = self.failed * keep + counts.failed * part
+        if counts.served:
+            part = 1 - (1 - 1 / self.memory) ** counts.served if self.mean else 1.0
+            self.mean += (counts.time / counts.served - self.mean) * part
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,6 +4,7 @@
 
 from linenbridge import interface as face
 from linenbridge.choice import ON_OUTCOMES, SECOND, Choice
+from linenbridge.state.counters import Counts, pack
 from tests.helpers import MS, entry, pull, running, startup
 
 
@@ -129,29 +130,26 @@
         gateway = trial_of(12)
         for n in range(60):
             for j in range(12):
-                gateway._count(gateway.fleet.index[10 + j], 2, 0, j < sick and n % 2 == 0)
+                failed = int(j < sick and n % 2 == 0)
+                gateway._hear(2, 0, Counts(1, failed), gateway.fleet.index[10 + j])
         assert bool(gateway.alarms) is alarmed
 
 
-def test_a_build_that_slows_old_and_new_in_step_is_voted_back():
+def test_a_build_that_needs_more_work_alarms_though_it_fails_nothing():
     gateway = running()
-    gateway.judged = 1
-    for _ in range(60):
-        gateway._record(1, 0).times.add(100 * MS)
-    gateway._judge(2)
-    for n in range(60):
+    for n in range(80):
         now = n * 50 * MS
         gateway.on_rpc(now, f"r{n}", "look", 4 * SECOND, None, "", None)
-        pull(gateway, now)
-        gateway.on_reply(now, f"r{n}", 0, face.OK, True, 2 * SECOND, {})
-    assert any(bit == "fleet late" for _, bit in gateway.alarms)
+        pick = next(d for d in pull(gateway, now) if d[0] == face.PICK)
+        gateway.on_reply(now, f"r{n}", 0, face.OK, True, (300 if pick[2] == 4 else 100) * MS, {})
+    assert (0, "slow") in gateway.alarms
 
 
 def test_no_on_while_a_sum_nears_its_alarm():
     gateway = running()
     gateway.outcomes = ON_OUTCOMES
     assert gateway._wanted(SECOND) == face.ON
-    gateway._count(gateway.fleet.index[4], 2, 0, True)
+    gateway._hear(2, 0, Counts(1, 1), gateway.fleet.index[4])
     assert gateway._wanted(SECOND) == face.NO_VOTE and not gateway.alarms
 
 
@@ -168,3 +166,38 @@
                 gateway.fleet.cold_tokens[cold] -= 1.0
                 sent += 1
     assert 0 < sent <= 5 * 200 * 2.0 * 0.3 / 10
+
+
+def test_a_small_gateway_takes_the_tallies_for_its_own_outcomes():
+    gateway = running(tally_period=2 * SECOND, gateways=100, back_votes=35)
+    for odd in (("none", 2, 9, 9), ("look", 7, 9, 9), ("look", 2, 0, 0), ("look", 2, 4, 5)):
+        gateway.on_tally(0, odd[1], odd[0], odd[2], odd[3], 0, 0)
+    assert not gateway.outcomes and all(w <= 0 for w in gateway.sums.values())
+    for period in range(4):
+        gateway.on_tally(period, 1, "look", 30, 0, 100 * MS, period)
+        gateway.on_tally(period, 2, "look", 10, 4, 100 * MS, period)
+        assert bool(gateway.alarms) is (period >= 1), "one period alone is not the build"
+    assert gateway._wanted(SECOND) == face.BACK
+
+
+def test_peers_words_count_once_whatever_their_order():
+    gateway = running(may_tell=True, gateways=100, back_votes=35)
+    words = [pack(9, [1, 2], 3, {(2, 0): Counts(n, n)}) for n in range(1, 8)]
+    for word in (words[1], words[0], words[1], words[1][:-3], b"x", words[2], words[2]):
+        gateway.on_peer(0, 5, word)
+    assert gateway.outcomes == 3
+    gateway.on_peer(0, 5, pack(10, [1, 2], 3, {(2, 0): Counts(2, 2)}))
+    assert gateway.outcomes == 5, "a peer that started anew counts from nothing"
+
+
+def test_words_go_to_peers_and_are_read_there():
+    gateway, peer = running(may_tell=True, gateways=3), running(may_tell=True, gateways=3)
+    told = []
+    for n in range(40):
+        gateway.on_rpc(n * 50 * MS, f"r{n}", "look", 4 * SECOND, None, "", None)
+        decisions = pull(gateway, n * 50 * MS)
+        told += [d[2] for d in decisions if d[0] == face.TELL]
+        gateway.on_reply(n * 50 * MS, f"r{n}", 0, face.OK, True, MS, {})
+    for words in told:
+        peer.on_peer(0, 1, words)
+    assert 0 < peer.outcomes <= gateway.told[2, 0].picks
