A cold instance asks for a whole allowance, whatever the RPC's weight

Cause: light RPCs passed on a part of the first allowance, which is drawn by chance, so a third of all gateways could send one at once: two instances back in a fleet of 34 got 2.8 times what they could do.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -46,7 +46,7 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_ASIDE, COLD_LEAST, FLEET_MEMORY = 1.1, 0.3, 30 * SECOND
+COLD_ASIDE, COLD_LEAST, FLEET_MEMORY = 0.9, 0.3, 30 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
@@ -478,7 +478,7 @@
             return 1.0
         return self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
 
-    def _cold_room(self, now: int, i: int, cost: float) -> bool:
+    def _cold_room(self, now: int, i: int) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
         size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
         Earned by RPC placed, not by time: a rate measured from few arrivals runs high at small gateways, and
@@ -486,13 +486,14 @@
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
-        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth * fleet.size[i] / self.fleet_size
-        if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole first allowances would meet here.
+        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth
+        part *= fleet.size[i] / self.fleet_size
+        if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole ones, or of light RPCs, would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
         earned = part * (self.work_taken - fleet.cold_mark[i])
         fleet.cold_tokens[i] = min(1.0, fleet.cold_tokens[i] + earned)
         fleet.cold_mark[i] = self.work_taken
-        return fleet.cold_tokens[i] >= min(cost, 1.0)
+        return fleet.cold_tokens[i] >= 1.0
 
     # ---- choosing an instance --------------------------------------------------------------------
 
@@ -505,7 +506,7 @@
         allowed = [
             i for i in fleet.ready
             if open_builds[fleet.build[i]] and fleet.build[i] >= least
-            and self._in_group(rpc, i) and self._cold_room(now, i, rpc.cost)
+            and self._in_group(rpc, i) and self._cold_room(now, i)
         ]  # fmt: skip
         sound = [i for i in allowed if fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST]
         room = [i for i in sound or allowed if self._has_room(i, rpc)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -162,7 +162,7 @@
         cold = gateway.fleet.index[10]
         for n in range(5):
             gateway.work_taken += 1.0
-            if gateway._cold_room(n, cold, 1.0):
+            if gateway._cold_room(n, cold):
                 gateway.fleet.cold_tokens[cold] -= 1.0
                 sent += 1
     assert 0 < sent <= 5 * 200 * 2.0 * 0.3 / 10
