--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 from math import ceil, exp, inf, log, sqrt
 from random import Random
+from zlib import crc32
 
 from linenbridge.interface import (
     ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
@@ -53,7 +54,10 @@
 SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_FREE, SHED_MOST = 0.1, 0.02, 10 * SECOND, 0.25, 0.9
 FULL_MOST = 2
 
-SWEEP, LAST_MOMENT = 50 * MS, 12 * MS
+# Instances that a gateway keeps to: each is used so often before its connection would close for idleness.
+REACH_USES, REACH_LEAST, LATELY = 3.0, 3, 3 * SECOND
+
+SWEEP, IDLE, LAST_MOMENT = 50 * MS, 250 * MS, 12 * MS
 RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
 TOOK_WEIGHT, TOOK_START = 0.05, 0.25
 
@@ -76,6 +80,10 @@
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.watch_wait = LIST_RETRY
         self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, now
+        self.lately = DecayingRate(LATELY)
+        self.near: dict[int, list[int]] = {}
+        self.weight: dict[int, float] = {}
+        self.sizes: list[float] = []
         self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
@@ -107,13 +115,21 @@
         self.fleet.update(entries, whole, GAP_START, LIMIT_START)
         if answers:
             self.watch_wait = LIST_RETRY
-        ready = sum(self.fleet.size[i] for i in self.fleet.ready)
+        fleet = self.fleet
+        for instance in fleet.ids[len(fleet.rank) :]:
+            fleet.rank.append(crc32(f"{self.allow.number}/{instance}".encode()))
+        self.near = {build: [] for build in sorted({fleet.build[i] for i in fleet.ready})}
+        for i in sorted(fleet.ready, key=fleet.rank.__getitem__):
+            self.near[fleet.build[i]].append(i)
+        self.weight = {build: sum(fleet.size[i] for i in row) for build, row in self.near.items()}
+        self.sizes = [fleet.size[i] for i in fleet.ready]
+        ready = sum(self.sizes)
         keep = exp((self.listed_at - now) / FLEET_MEMORY) if self.fleet_size else 0.0
         self.fleet_size, self.listed_at = self.fleet_size * keep + ready * (1 - keep), now
-        builds = [self.fleet.build[i] for i in self.fleet.ready]
-        if builds:
-            self.lowest = min(builds) if self.lowest < 0 else min(self.lowest, *builds)
-            self._judge(max(builds))
+        if self.near:
+            lowest = min(self.near)
+            self.lowest = lowest if self.lowest < 0 else min(self.lowest, lowest)
+            self._judge(max(self.near))
 
     def on_list_failed(self, now: int) -> None:
         self.watch_at = now + int(self.watch_wait * self.random.uniform(0.5, 1.5))
@@ -130,6 +146,7 @@
         utility = table.utility if self.allow.by_work else table.utility / self.took[m]
         if self._over_share(now, tenant):
             utility *= self.allow.over_share_utility
+        self.lately.add(now, 1.0)
         self.taken[m] += 1
         self.taken[-1] += 1
         end = now + ttl
@@ -210,8 +227,7 @@
             return
         self.tallied_at = now
         at = ended - self.plan.tally_period // 2
-        ages = [self._warmth(i, at) for i in self.fleet.ready
-                if self.fleet.build[i] == build and self.fleet.started[i] < at]  # fmt: skip
+        ages = [self._warmth(i, at) for i in self.near.get(build, ()) if self.fleet.started[i] < at]
         cold = sum(1 / warmth for warmth in ages) / len(ages) if ages else 1.0
         counts = Counts(picks, failed, picks - failed, round((picks - failed) * took / cold))
         self._hear(build, m, counts, most=LEAST_THRESHOLD)
@@ -247,7 +263,7 @@
 
     def _comparable(self, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while an earlier instance is ready."""
-        return build < self.judged or any(self.fleet.build[i] < self.judged for i in self.fleet.ready)
+        return build < self.judged or min(self.near, default=build) < self.judged
 
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
@@ -302,8 +318,8 @@
         level += log(max(1, self.plan.back_votes)) if self.sharing else 0.0
         parts, before = self.parts.setdefault(key, {}), max(0.0, self.sums.get(key, 0.0))
         if i is not None and z > 0.0:
-            like = sum(self.fleet.build[j] == self.fleet.build[i] for j in self.fleet.ready)
-            z = max(0.0, min(z, PART * level / ceil(sqrt(max(1, like))) - parts.get(i, 0.0)))
+            like = len(self.near.get(self.fleet.build[i], ()))
+            z = max(0.0, min(z, PART * level / max(1, ceil(sqrt(like))) - parts.get(i, 0.0)))
             parts[i] = parts.get(i, 0.0) + z
         w = self.sums[key] = before + z
         if z < 0.0:
@@ -339,7 +355,12 @@
         return decision
 
     def wake_at(self) -> int | None:
-        return min(self.sweep_at, self.due[0][0]) if self.due else self.sweep_at
+        """The next deadline or sweep: often while something is open, not at all when no vote is to be cast."""
+        times = [self.due[0][0]] if self.due else []
+        settled = self.build == self.judged and self.phase != ON_TRIAL and self.cast[2] == NO_VOTE
+        if self.rpcs or self.watch_at is not None or not settled:
+            times.append(self.sweep_at)
+        return min(times, default=None)
 
     def _decide(self, now: int) -> Iterator[tuple]:
         if self.watch_at is not None and now >= self.watch_at:
@@ -350,8 +371,10 @@
             if rpc and not rpc.ended and not rpc.streaming:
                 yield self._final(rpc)
         if now >= self.sweep_at:
-            self.sweep_at = now + SWEEP
             yield from self._doubt(now)
+            self.sweep_at = now + (SWEEP if self.rpcs else IDLE)
+        elif self.rpcs:
+            self.sweep_at = min(self.sweep_at, now + SWEEP)
         yield from self._place(now)
         yield from self._ballot(now)
         yield from self._tell(now)
@@ -498,28 +521,41 @@
     # ---- choosing an instance --------------------------------------------------------------------
 
     def _target(self, now: int, rpc: Rpc) -> int | None:
-        """Two random choices, by size, on what is in flight. Further picks keep off the instances tried
-        before and, where others can take them, off the build on trial."""
-        fleet, m = self.fleet, rpc.method
-        open_builds = {build: self._exposed(build, m) for build in {fleet.build[i] for i in fleet.ready}}
+        """A build by the size of its instances, then one of them. A cold instance drawn that has its fill hands
+        over to the other build, or its warm fellows would take the whole share. Further picks try the earlier
+        build first, and unsound instances come last, when there is no other."""
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
-        allowed = [
-            i for i in fleet.ready
-            if open_builds[fleet.build[i]] and fleet.build[i] >= least
-            and self._in_group(rpc, i) and self._cold_room(now, i)
-        ]  # fmt: skip
-        sound = [i for i in allowed if fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST]
-        room = [i for i in sound or allowed if self._has_room(i, rpc)]
-        if rpc.picks:
-            tried = {pick.instance for pick in rpc.picks}
-            room = [i for i in room if i not in tried] or room
-            room = [i for i in room if fleet.build[i] != self.judged] or room
+        builds = [b for b in self.near if b >= least and self._exposed(b, rpc.method)]
+        if not builds:
+            return None
+        drawn = self.random.choices(self.fleet.ready, self.sizes)[0]
+        wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
+        builds.sort(key=lambda b: b == self.judged if rpc.picks else (b == wanted) == full)
+        sound = any(self._sound(i, now) for b in builds for i in self.near[b])
+        chosen = (self._nearest(now, rpc, build, sound) for build in builds)
+        return next((i for i in chosen if i is not None), None)
+
+    def _nearest(self, now: int, rpc: Rpc, build: int, sound: bool) -> int | None:
+        """Two random choices, by size, on what is in flight, among the first of the build in this gateway's
+        own lasting order: as many as its traffic keeps connections open to, others in place of sick ones."""
+        fleet, tried = self.fleet, {pick.instance for pick in rpc.picks}
+        uses = self.lately.per_second(now) * self.allow.idle_close / SECOND / REACH_USES
+        reach, room = max(REACH_LEAST, uses * self.weight[build] / sum(self.weight.values())), []
+        for i in self.near[build]:
+            if (not sound or self._sound(i, now)) and self._in_group(rpc, i) and self._has_room(i, rpc):
+                if self._cold_room(now, i):
+                    room.append(i)
+                if len(room) >= reach:
+                    break
+        room = [i for i in room if i not in tried] or room
         if not room:
             return None
-        sizes = [fleet.size[i] for i in room]
-        first, second = self.random.choices(room, sizes, k=2)
+        first, second = self.random.choices(room, [fleet.size[i] for i in room], k=2)
         return first if self._crowding(first, now) <= self._crowding(second, now) else second
 
+    def _sound(self, i: int, now: int) -> bool:
+        return self.fleet.shun_until[i] <= now and self._failing(i, now) < FAIL_MOST
+
     def _has_room(self, i: int, rpc: Rpc) -> bool:
         """An instance back from a strike is tried with one RPC that may be repeated."""
         if self.fleet.strikes[i]:
@@ -614,7 +650,7 @@
             return NO_VOTE
         if self.alarms:
             return BACK
-        starts = [self.fleet.started[i] for i in self.fleet.ready if self.fleet.build[i] == self.judged]
+        starts = [self.fleet.started[i] for i in self.near.get(self.judged, ())]
         if phase == RELEASED or not starts:
             return NO_VOTE
         # A sum on its way to the alarm is no ground for 'on', whatever the outcomes before it.
@@ -629,7 +665,7 @@
         A vote for a stage not yet reached is answered as moot, and the told stage is taken again."""
         stage = self.stage if self.build == self.judged else 0
         told, fleet, shares = (self.judged, stage), self.fleet, self.plan.shares
-        trial = sum(fleet.build[i] == self.judged for i in fleet.ready)
+        trial = len(self.near.get(self.judged, ()))
         places = len(fleet.ready) if self.plan.in_place else len(fleet.ready) - trial
         while stage + 1 < len(shares) and trial > shares[stage] * places + 1:
             stage += 1
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -80,6 +80,7 @@
     number: int
     gateways: int
     may_tell: bool
+    idle_close: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -32,6 +32,7 @@
         self.reported_at: list[int] = []
         self.cold_tokens: list[float] = []
         self.cold_mark: list[float] = []
+        self.rank: list[int] = []
         self.ready: list[int] = []
 
     def update(self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float) -> None:
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -67,6 +67,7 @@
             number=info.slot_no,
             gateways=info.balancers,
             may_tell=allow.may_tell,
+            idle_close=micros(allow.idle_close),
         ),
     )
 
--- a/linenbridge/wirehost/messages.py
+++ b/linenbridge/wirehost/messages.py
@@ -58,6 +58,7 @@
     retry_after: bool
     max_retry_after: float
     may_tell: bool = False
+    idle_close: float = 15.0
 
 
 class Rules(Struct):
