--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -13,14 +13,13 @@
 from collections.abc import Iterator
 from math import ceil, exp, inf, log, sqrt
 from random import Random
-from zlib import crc32
 
 from linenbridge.interface import (
     ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
     ON_TRIAL, PICK, PUSH_BACK, RELEASED, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
     ListEntry, Startup,
 )  # fmt: skip
-from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, pack, unpack
+from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts, pack, unpack
 from linenbridge.state.fleet import Fleet
 from linenbridge.state.rpcs import Pick, Rpc
 
@@ -41,7 +40,7 @@
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
-FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
+FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST, POOR_SHARE = 0.3, 10 * SECOND, 0.05, 0.5, 0.5
 REPORT_MEMORY = 1 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
@@ -70,7 +69,7 @@
         self.row = {method.name: m for m, method in enumerate(start.methods)}
         self.tenant_shares = start.tenant_shares
         self.random = Random(seed)
-        self.fleet = Fleet()
+        self.fleet = Fleet(self.allow.number)
         self.rpcs: dict[str, Rpc] = {}
         self.waiting: list[Rpc] = []
         self.due: list[tuple[int, str]] = []
@@ -82,9 +81,7 @@
         self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, now
         self.lately = DecayingRate(LATELY)
         self.near: dict[int, list[int]] = {}
-        self.weight: dict[int, float] = {}
-        self.sizes: list[float] = []
-        self.tenant_rate = {tenant: DecayingRate(TENANT_MEMORY) for tenant in start.tenant_shares}
+        self.tenants = Parts(TENANT_MEMORY)
         self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.others_mean = 0.0
@@ -115,15 +112,7 @@
         self.fleet.update(entries, whole, GAP_START, LIMIT_START)
         if answers:
             self.watch_wait = LIST_RETRY
-        fleet = self.fleet
-        for instance in fleet.ids[len(fleet.rank) :]:
-            fleet.rank.append(crc32(f"{self.allow.number}/{instance}".encode()))
-        self.near = {build: [] for build in sorted({fleet.build[i] for i in fleet.ready})}
-        for i in sorted(fleet.ready, key=fleet.rank.__getitem__):
-            self.near[fleet.build[i]].append(i)
-        self.weight = {build: sum(fleet.size[i] for i in row) for build, row in self.near.items()}
-        self.sizes = [fleet.size[i] for i in fleet.ready]
-        ready = sum(self.sizes)
+        ready, self.near = sum(self.fleet.sizes), self.fleet.near
         keep = exp((self.listed_at - now) / FLEET_MEMORY) if self.fleet_size else 0.0
         self.fleet_size, self.listed_at = self.fleet_size * keep + ready * (1 - keep), now
         if self.near:
@@ -144,7 +133,7 @@
             self.work += (work - self.work) * (TOOK_WEIGHT if self.work else 1.0)
             cost = work / self.work
         utility = table.utility if self.allow.by_work else table.utility / self.took[m]
-        if self._over_share(now, tenant):
+        if self.tenants.part(now, tenant) > OVER_SHARE * self.tenant_shares.get(tenant, 1.0):
             utility *= self.allow.over_share_utility
         self.lately.add(now, 1.0)
         self.taken[m] += 1
@@ -155,14 +144,6 @@
         heapq.heappush(self.due, (max(now, end - LAST_MOMENT), rpc))
         self.waiting.append(taken)
 
-    def _over_share(self, now: int, tenant: str) -> bool:
-        rate = self.tenant_rate.get(tenant)
-        if rate is None:
-            return False
-        rate.add(now, 1.0)
-        whole = sum(other.per_second(now) for other in self.tenant_rate.values())
-        return rate.per_second(now) > OVER_SHARE * self.tenant_shares[tenant] * whole
-
     def on_gone(self, now: int, rpc: str) -> None:
         if rpc in self.rpcs:
             self._end(self.rpcs[rpc])
@@ -205,14 +186,13 @@
         if not valid or build < self.build:
             return
         self.vote_wait = VOTE_RETRY
-        if (build, stage, phase) != (self.build, self.stage, self.phase):
+        if self.build >= 0 and (build, stage, phase) != (self.build, self.stage, self.phase):
             self.notes.append(f"build {build} stage {stage} phase {phase} cap {cap:g}")
-        for bucket in self.buckets.values():
-            bucket.settle(self.taken[bucket.row])
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
         (self.withdrawn.discard if phase in (ON_TRIAL, RELEASED) else self.withdrawn.add)(build)
         self.moved = {key: b for key, b in self.moved.items() if b >= build and b not in self.withdrawn}
-        for (b, _), bucket in self.buckets.items():
+        for (b, row), bucket in self.buckets.items():
+            bucket.settle(self.taken[row])
             bucket.share = self._share(b)
         self.moot = (-1, -1)
         self._judge(build)
@@ -253,9 +233,7 @@
         """A later build starts with clean sums."""
         if build > self.judged:
             self.judged, self.outcomes, self.sharing = build, 0, False
-            self.sums.clear()
-            self.parts.clear()
-            self.alarms.clear()
+            self.sums, self.parts, self.alarms = {}, {}, set()
 
     def _few(self, now: int) -> bool:
         """Whether this gateway takes too little for twenty outcomes within the wait before 'on'."""
@@ -275,7 +253,8 @@
             counts = Counts(1, int(outcome != OK), int(warm), took * warm)
             self.told[key] = self.told.get(key, Counts()).plus(counts)
             self.news = self.news or pick.build == self.judged
-            if now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
+            stale = now > self.tallied_at + TALLY_STALE * self.plan.tally_period
+            if stale or not self._comparable(self.judged):
                 self._hear(*key, counts, pick.instance)
         if outcome == OK:
             binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
@@ -355,7 +334,7 @@
         return decision
 
     def wake_at(self) -> int | None:
-        """The next deadline or sweep: often while something is open, not at all when no vote is to be cast."""
+        """The next deadline or sweep: often while something is open, never when no vote is to be cast."""
         times = [self.due[0][0]] if self.due else []
         settled = self.build == self.judged and self.phase != ON_TRIAL and self.cast[2] == NO_VOTE
         if self.rpcs or self.watch_at is not None or not settled:
@@ -521,14 +500,14 @@
     # ---- choosing an instance --------------------------------------------------------------------
 
     def _target(self, now: int, rpc: Rpc) -> int | None:
-        """A build by the size of its instances, then one of them. A cold instance drawn that has its fill hands
-        over to the other build, or its warm fellows would take the whole share. Further picks try the earlier
-        build first, and unsound instances come last, when there is no other."""
+        """A build by the size of its instances, then one of them. A cold instance drawn that has its fill
+        hands over to the other build, or its warm fellows would take the whole share. Further picks try the
+        earlier build first; unsound instances are for when there is no other."""
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
         builds = [b for b in self.near if b >= least and self._exposed(b, rpc.method)]
         if not builds:
             return None
-        drawn = self.random.choices(self.fleet.ready, self.sizes)[0]
+        drawn = self.random.choices(self.fleet.ready, self.fleet.sizes)[0]
         wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
         builds.sort(key=lambda b: b == self.judged if rpc.picks else (b == wanted) == full)
         sound = any(self._sound(i, now) for b in builds for i in self.near[b])
@@ -540,7 +519,7 @@
         own lasting order: as many as its traffic keeps connections open to, others in place of sick ones."""
         fleet, tried = self.fleet, {pick.instance for pick in rpc.picks}
         uses = self.lately.per_second(now) * self.allow.idle_close / SECOND / REACH_USES
-        reach, room = max(REACH_LEAST, uses * self.weight[build] / sum(self.weight.values())), []
+        reach, room = max(REACH_LEAST, uses * len(self.near[build]) / len(fleet.ready)), []
         for i in self.near[build]:
             if (not sound or self._sound(i, now)) and self._in_group(rpc, i) and self._has_room(i, rpc):
                 if self._cold_room(now, i):
@@ -571,8 +550,8 @@
         return (fleet.out[i] + others + 1) / (fleet.size[i] * sound * sound)
 
     def _failing(self, i: int, now: int) -> float:
-        """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
-        return self.fleet.failing[i] * exp((self.fleet.last_reply[i] - now) / FAIL_MEMORY)
+        """Share of an instance's last answers that were errors, refusals or slow; forgotten when left alone."""
+        return self.fleet.failing[i] * exp((self.fleet.failing_at[i] - now) / FAIL_MEMORY)
 
     # ---- health ----------------------------------------------------------------------------------
 
@@ -591,8 +570,13 @@
             gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
             fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
+        if outcome in (OK, ERROR, FULL, TIMED_OUT):
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
-            fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
+            # Slow answers too: a slow machine, a bad path, a shared one are alike to a gateway with few picks.
+            usual = self.methods[rpc.method].soft_deadline * max(1.0, rpc.cost)
+            poor = outcome != OK or took > POOR_SHARE * usual
+            failing = self._failing(i, now)
+            fleet.failing[i], fleet.failing_at[i] = failing + (poor - failing) * FAIL_WEIGHT, now
         late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.soft_deadline)
         if late or outcome == OK:
             self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -67,8 +67,23 @@
         self.amount = self.amount * exp((self.at - now) / self.memory) + amount
         self.at = now
 
+    def at_present(self, now: int) -> float:
+        return self.amount * exp((self.at - now) / self.memory)
+
     def per_second(self, now: int) -> float:
-        return self.amount * exp((self.at - now) / self.memory) * 1e6 / self.memory
+        return self.at_present(now) * 1e6 / self.memory
+
+
+class Parts:
+    """What part of the arrivals of late each name had."""
+
+    def __init__(self, memory: int) -> None:
+        self.memory, self.rates = memory, {}
+
+    def part(self, now: int, name: str) -> float:
+        """Count one arrival of that name; its part among all, itself included."""
+        self.rates.setdefault(name, DecayingRate(self.memory)).add(now, 1.0)
+        return self.rates[name].amount / sum(rate.at_present(now) for rate in self.rates.values())
 
 
 class BuildRecord:
