--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -40,7 +40,7 @@
 # Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
-FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST, POOR_SHARE = 0.3, 10 * SECOND, 0.05, 0.5, 0.5
+FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
 REPORT_MEMORY = 1 * SECOND
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
@@ -550,8 +550,8 @@
         return (fleet.out[i] + others + 1) / (fleet.size[i] * sound * sound)
 
     def _failing(self, i: int, now: int) -> float:
-        """Share of an instance's last answers that were errors, refusals or slow; forgotten when left alone."""
-        return self.fleet.failing[i] * exp((self.fleet.failing_at[i] - now) / FAIL_MEMORY)
+        """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
+        return self.fleet.failing[i] * exp((self.fleet.last_reply[i] - now) / FAIL_MEMORY)
 
     # ---- health ----------------------------------------------------------------------------------
 
@@ -570,13 +570,8 @@
             gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
             fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
-        if outcome in (OK, ERROR, FULL, TIMED_OUT):
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
-            # Slow answers too: a slow machine, a bad path, a shared one are alike to a gateway with few picks.
-            usual = self.methods[rpc.method].soft_deadline * max(1.0, rpc.cost)
-            poor = outcome != OK or took > POOR_SHARE * usual
-            failing = self._failing(i, now)
-            fleet.failing[i], fleet.failing_at[i] = failing + (poor - failing) * FAIL_WEIGHT, now
+            fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
         late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.soft_deadline)
         if late or outcome == OK:
             self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -10,7 +10,7 @@
 
 class Fleet:
     """Per-instance figures; an instance keeps its index for the life of the gateway. `near` lists the ready
-    ones of each build in an order of this gateway's own, the same after a restart, whatever else is listed."""
+    ones of a build in an order of this gateway's own, the same after a restart, whatever else is listed."""
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -27,7 +27,6 @@
         self.last_reply: list[int] = []
         self.gap: list[float] = []
         self.failing: list[float] = []
-        self.failing_at: list[int] = []
         self.limit: list[float] = []
         self.cut_at: list[int] = []
         self.strikes: list[int] = []
@@ -71,7 +70,7 @@
         for array, empty in (
             (self.build, 0), (self.zone, ""), (self.cell, 0), (self.state, GONE), (self.size, 1.0),
             (self.started, 0), (self.out, 0), (self.busy_since, 0), (self.last_reply, 0), (self.gap, 0.0),
-            (self.failing, 0.0), (self.failing_at, 0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
+            (self.failing, 0.0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
             (self.shun_until, 0), (self.others, 0.0), (self.reported_at, 0), (self.cold_tokens, 0.0),
             (self.cold_mark, -1.0),
         ):  # fmt: skip
