--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -50,7 +50,7 @@
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
-SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_FREE, SHED_MOST, SHED_LATE = 0.2, 0.02, 20 * SECOND, 0.25, 0.9, 0.7
+SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_FREE, SHED_MOST = 0.1, 0.025, 60 * SECOND, 0.3, 0.9
 FULL_MOST = 2
 
 # Instances that a gateway keeps to: each is used so often before its connection would close for idleness.
@@ -399,7 +399,8 @@
         self._weigh_shed(now, 0.0)
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
-        return self.random.random() < min(SHED_MOST, 2 * (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1 - rank))
+        part = min(SHED_MOST, 2 * (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1 - rank))
+        return self._few(now) and self.random.random() < part
 
     def _weigh_shed(self, now: int, step: float) -> None:
         shed = self.shed * exp((self.shed_at - now) / SHED_MEMORY)
@@ -572,7 +573,7 @@
             fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
             fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
-        late = outcome in (TIMED_OUT, FULL) or took > SHED_LATE * self.methods[rpc.method].soft_deadline
+        late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.soft_deadline)
         if late or outcome == OK:
             self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
         used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
