--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import deque
 from collections.abc import Iterator
 from math import ceil, exp, inf, log, sqrt
@@ -19,21 +18,20 @@
     ON_TRIAL, PICK, PUSH_BACK, RELEASED, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
     ListEntry, Startup,
 )  # fmt: skip
-from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts, pack, unpack
+from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts
 from linenbridge.state.fleet import Fleet
-from linenbridge.state.rpcs import Pick, Rpc
+from linenbridge.state.peers import Heard, pack
+from linenbridge.state.rpcs import OpenRpcs, Pick, Rpc
 
 MS, SECOND = 1_000, 1_000_000
 
 # The design's test. Failures: two p1 over a floor of 0.01. Slowness: the same sum, times for a bit.
 P0_FLOOR, P0_MOST, P1_STEPS, P0_PRIOR = 0.01, 0.8, {"failed": 0.05, "failed much": 0.15}, 20
 SLOW_STEP, SLOW_SPREAD, SLOW_CLIP, SLOW_DIVERGENCE = 1.0, 2.0, 4.0, 0.75
-LEAST_THRESHOLD, H, HOLD_LEVEL = 5.0, 10.0, 0.2
-PART = 1.2
+LEAST_THRESHOLD, H, HOLD_LEVEL, PART = 5.0, 10.0, 0.2, 1.2
 ON_OUTCOMES, ON_MOST, ON_WAIT = 20, 0.5, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
-SEND_SHARE = 0.9
-RECORD_MEMORY = 60
+SEND_SHARE, RECORD_MEMORY = 0.9, 60
 # Others' counts, for a gateway with too few outcomes of its own: tallies of late, messages to some peers.
 TALLY_STALE, TELL_EVERY, PEERS = 4, 1 * SECOND, 8
 
@@ -49,13 +47,12 @@
 COLD_ASIDE, COLD_LEAST, FLEET_MEMORY = 0.9, 0.3, 30 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
-# Shedding: the share pushed back at once rises with each late answer, falls with each in time and with time.
-SHED_UP, SHED_DOWN, SHED_MEMORY, SHED_FREE, SHED_MOST = 0.1, 0.025, 60 * SECOND, 0.3, 0.9
-FULL_MOST = 2
+# Shedding: a share goes back at once, more with each late answer; once it acts, well in time is asked for.
+SHED_UP, SHED_DOWN, SHED_MEMORY, FULL_MOST = 0.1, 0.025, 60 * SECOND, 2
+SHED_FREE, SHED_MOST, SHED_NEAR = 0.3, 0.9, 0.6
 
-# Instances that a gateway keeps to: each is used so often before its connection would close for idleness.
+# Instances that a gateway keeps to: each is used so often before its connection would idle out.
 REACH_USES, REACH_LEAST, LATELY = 3.0, 3, 3 * SECOND
-
 SWEEP, IDLE, LAST_MOMENT = 50 * MS, 250 * MS, 12 * MS
 RETRY_AFTER, LIST_RETRY, LIST_RETRY_MOST = 2 * SECOND, 300 * MS, 4 * SECOND
 TOOK_WEIGHT, TOOK_START = 0.05, 0.25
@@ -65,26 +62,21 @@
     """The decisions of one gateway."""
 
     def __init__(self, start: Startup, seed: int, now: int) -> None:
-        self.plan, self.allow, self.methods = start.plan, start.allowances, start.methods
+        self.start, self.plan, self.allow, self.methods = start, start.plan, start.allowances, start.methods
         self.row = {method.name: m for m, method in enumerate(start.methods)}
-        self.tenant_shares = start.tenant_shares
         self.random = Random(seed)
         self.fleet = Fleet(self.allow.number)
-        self.rpcs: dict[str, Rpc] = {}
-        self.waiting: list[Rpc] = []
-        self.due: list[tuple[int, str]] = []
+        self.rpcs, self.waiting = OpenRpcs(), []
         self.notes: deque[str] = deque()
         self.passing: Iterator[tuple] | None = None
-        self.sweep_at = now
         self.watch_at: int | None = now if self.allow.asks_for_list else None
-        self.watch_wait = LIST_RETRY
+        self.sweep_at, self.watch_wait = now, LIST_RETRY
         self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, now
         self.lately = DecayingRate(LATELY)
         self.near: dict[int, list[int]] = {}
         self.tenants = Parts(TENANT_MEMORY)
-        self.work = 0.0
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
-        self.others_mean = 0.0
+        self.work = 0.0
         self.shed, self.shed_at, self.utilities = 0.0, now, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
@@ -100,11 +92,10 @@
         self.alarms: set[tuple[int, str]] = set()
         self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
         self.moot = (-1, -1)
-        # Others' counts: when the last tally came, what peers told, what this gateway tells them.
         self.born, self.tallied_at, self.sharing = now, -(1 << 60), False
         self.token, self.tell_at, self.news = self.random.randrange(1 << 16), now, False
         self.told: dict[tuple[int, int], Counts] = {}
-        self.heard: dict[tuple[int, int, int, int], Counts] = {}
+        self.heard = Heard(len(self.methods))
 
     # ---- inputs: they only update what is known --------------------------------------------------
 
@@ -133,20 +124,19 @@
             self.work += (work - self.work) * (TOOK_WEIGHT if self.work else 1.0)
             cost = work / self.work
         utility = table.utility if self.allow.by_work else table.utility / self.took[m]
-        if self.tenants.part(now, tenant) > OVER_SHARE * self.tenant_shares.get(tenant, 1.0):
+        if self.tenants.part(now, tenant) > OVER_SHARE * self.start.tenant_shares.get(tenant, 1.0):
             utility *= self.allow.over_share_utility
         self.lately.add(now, 1.0)
         self.taken[m] += 1
         self.taken[-1] += 1
         end = now + ttl
         taken = Rpc(rpc, m, now, min(now + table.soft_deadline, end), end, cost, utility, key)
-        self.rpcs[rpc] = taken
-        heapq.heappush(self.due, (max(now, end - LAST_MOMENT), rpc))
+        self.rpcs.add(taken, max(now, end - LAST_MOMENT))
         self.waiting.append(taken)
 
     def on_gone(self, now: int, rpc: str) -> None:
         if rpc in self.rpcs:
-            self._end(self.rpcs[rpc])
+            self.rpcs.end(self.rpcs[rpc])
 
     def on_stream(self, now: int, rpc: str, pick: int) -> None:
         if rpc in self.rpcs:
@@ -163,15 +153,10 @@
         self._note_health(now, sent, outcome, took, owner, load)
         self._note_outcome(now, sent, outcome, took, owner)
         if final or owner.ended:
-            self._end(owner)
+            self.rpcs.end(owner)
         elif not owner.out():
             self.waiting.append(owner)
 
-    def _end(self, rpc: Rpc) -> None:
-        rpc.ended = True
-        if not rpc.out():
-            self.rpcs.pop(rpc.id, None)
-
     def on_stage(
         self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool,
         moot: bool = False,
@@ -214,13 +199,9 @@
 
     def on_peer(self, now: int, peer: int, words: bytes) -> None:
         """A peer's own outcomes, counted from its start: repeats, gaps and late words count nothing twice."""
-        for token, build, m, counts in unpack(words, len(self.methods)):
-            key = (peer, token, build, m)
-            fresh = counts.plus(self.heard.get(key, Counts()), -1)
-            if min(fresh) >= 0 and fresh.picks:
-                self.heard[key] = counts
-                if self._few(now):
-                    self._hear(build, m, fresh)
+        for build, m, counts in self.heard.fresh(peer, words):
+            if self._few(now):
+                self._hear(build, m, counts)
 
     def on_flag(self, now: int, instance: int, method: str) -> None:
         i = self.fleet.index.get(instance)
@@ -317,25 +298,21 @@
         self.news, self.tell_at = False, now + int(TELL_EVERY * self.random.uniform(0.5, 1.5))
         words = pack(self.token, sorted({build for build, _ in self.told})[-2:], len(self.methods), self.told)
         gateways, count = self.allow.gateways, ceil(PEERS / self.plan.shares[self._stage_seen()[1]])
-        if count >= gateways - 1:
-            yield TELL, None, words
-        else:
-            for n in range(1, count + 1):
-                yield TELL, (self.allow.number + n) % gateways, words
+        peers = [(self.allow.number + n) % gateways for n in range(1, count + 1)]
+        yield from ((TELL, peer, words) for peer in (peers if count < gateways - 1 else [None]))
 
     # ---- decisions -------------------------------------------------------------------------------
 
     def next_decision(self, now: int) -> tuple | None:
         if self.passing is None:
             self.passing = self._decide(now)
-        decision = next(self.passing, None)
-        if decision is None:
+        if (decision := next(self.passing, None)) is None:
             self.passing = None
         return decision
 
     def wake_at(self) -> int | None:
         """The next deadline or sweep: often while something is open, never when no vote is to be cast."""
-        times = [self.due[0][0]] if self.due else []
+        times = [self.rpcs.due[0][0]] if self.rpcs.due else []
         settled = self.build == self.judged and self.phase != ON_TRIAL and self.cast[2] == NO_VOTE
         if self.rpcs or self.watch_at is not None or not settled:
             times.append(self.sweep_at)
@@ -345,10 +322,8 @@
         if self.watch_at is not None and now >= self.watch_at:
             self.watch_at = None
             yield (WATCH,)
-        while self.due and self.due[0][0] <= now:
-            rpc = self.rpcs.get(heapq.heappop(self.due)[1])
-            if rpc and not rpc.ended and not rpc.streaming:
-                yield self._final(rpc)
+        for rpc in self.rpcs.overdue(now):
+            yield self._final(rpc)
         if now >= self.sweep_at:
             yield from self._doubt(now)
             self.sweep_at = now + (SWEEP if self.rpcs else IDLE)
@@ -362,7 +337,7 @@
 
     def _final(self, rpc: Rpc) -> tuple:
         """Rules 1 and 2: the one final answer; a pushback only where a repeat is harmless."""
-        self._end(rpc)
+        self.rpcs.end(rpc)
         method, ran = self.methods[rpc.method], rpc.first_that_may_have_run()
         harmless = method.effect == IDEMPOTENT or (method.effect == TOKENED and method.group == "all")
         if ran is None or harmless:
@@ -409,11 +384,8 @@
     def _send(self, now: int, rpc: Rpc, i: int) -> tuple:
         fleet, build = self.fleet, self.fleet.build[i]
         rpc.picks.append(Pick(i, build, now))
-        if not fleet.out[i]:
-            fleet.busy_since[i] = now
-        fleet.out[i] += 1
-        bucket = self._bucket(build, rpc.method)
-        if bucket:
+        fleet.sent(i, now)
+        if bucket := self._bucket(build, rpc.method):
             bucket.tokens -= 1.0
         if self._warmth(i, now) < 1.0:
             fleet.cold_tokens[i] -= rpc.cost
@@ -437,9 +409,8 @@
         method, fleet = self.methods[rpc.method], self.fleet
         if ran is None or method.effect != TOKENED or method.group == "all":
             return True
-        if method.group == "zone":
-            return fleet.zone[i] == fleet.zone[ran.instance]
-        return fleet.cell[i] == fleet.cell[ran.instance]
+        group = fleet.zone if method.group == "zone" else fleet.cell
+        return group[i] == group[ran.instance]
 
     def _cap(self, build: int) -> tuple[float, int] | None:
         """Rule 5: the cap and stage that bind picks at a build; None where nothing does."""
@@ -458,17 +429,15 @@
         if self._cap(build) is None:
             return None
         row = m if self.plan.per_method else -1
-        bucket = self.buckets.get((build, row))
-        if bucket is None:
-            bucket = self.buckets[build, row] = CapBucket(self.plan.spare_picks, self.taken[row], row)
-            bucket.share = self._share(build)
-        bucket.settle(self.taken[row])
-        return bucket
+        if (build, row) not in self.buckets:
+            bucket = CapBucket(self.plan.spare_picks, self.taken[row], self._share(build))
+            self.buckets[build, row] = bucket
+        self.buckets[build, row].settle(self.taken[row])
+        return self.buckets[build, row]
 
     def _exposed(self, build: int, m: int) -> bool:
         """Whether rule 5 lets one more RPC of the method go to the build now."""
-        cap = self._cap(build)
-        if cap is None:
+        if (cap := self._cap(build)) is None:
             return True
         if cap[0] <= 0.0 or (cap[1] < self.plan.closed_stages and self.methods[m].effect != IDEMPOTENT):
             return False
@@ -484,8 +453,8 @@
     def _cold_room(self, now: int, i: int) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
         size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
-        Earned by RPC placed, not by time: a rate measured from few arrivals runs high at small gateways, and
-        what is shed loads nobody. The fleet counts as of late: in place, half may drain as half starts."""
+        Earned by RPC placed, not by time: a rate from few arrivals runs high, and what is shed loads nobody.
+        The fleet counts as of late: in place, half may drain as half starts."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
@@ -501,12 +470,10 @@
     # ---- choosing an instance --------------------------------------------------------------------
 
     def _target(self, now: int, rpc: Rpc) -> int | None:
-        """A build by the size of its instances, then one of them. A cold instance drawn that has its fill
-        hands over to the other build, or its warm fellows would take the whole share. Further picks try the
-        earlier build first; unsound instances are for when there is no other."""
+        """A build by the size of its instances, then one of them; a cold one drawn that has its fill hands
+        over to the other build, not to its warm fellows. Further picks try the earlier build first."""
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
-        builds = [b for b in self.near if b >= least and self._exposed(b, rpc.method)]
-        if not builds:
+        if not (builds := [b for b in self.near if b >= least and self._exposed(b, rpc.method)]):
             return None
         drawn = self.random.choices(self.fleet.ready, self.fleet.sizes)[0]
         wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
@@ -527,8 +494,7 @@
                     room.append(i)
                 if len(room) >= reach:
                     break
-        room = [i for i in room if i not in tried] or room
-        if not room:
+        if not (room := [i for i in room if i not in tried] or room):
             return None
         first, second = self.random.choices(room, [fleet.size[i] for i in room], k=2)
         return first if self._crowding(first, now) <= self._crowding(second, now) else second
@@ -545,8 +511,8 @@
     def _crowding(self, i: int, now: int) -> float:
         """In flight for its size and warmth; an instance that fails quickly must not look empty."""
         fleet = self.fleet
-        others = fleet.others[i] - self.others_mean * fleet.size[i]
-        others = self.others_mean * fleet.size[i] + others * exp((fleet.reported_at[i] - now) / REPORT_MEMORY)
+        usual = fleet.others_mean * fleet.size[i]
+        others = usual + (fleet.others[i] - usual) * exp((fleet.reported_at[i] - now) / REPORT_MEMORY)
         sound = max(FAIL_LEAST, 1 - self._failing(i, now))
         return (fleet.out[i] + others + 1) / (fleet.size[i] * sound * sound)
 
@@ -561,19 +527,16 @@
     ) -> None:
         fleet, i, soft = self.fleet, pick.instance, self.strictest * max(1.0, rpc.cost)
         fleet.out[i] = max(0, fleet.out[i] - 1)
-        reported = load.get("in_flight", load.get("waiting"))
-        if reported is not None:
-            fleet.others[i], fleet.reported_at[i] = max(0.0, reported - fleet.out[i]), now
-            self.others_mean += (fleet.others[i] / fleet.size[i] - self.others_mean) * TOOK_WEIGHT
+        if (reported := load.get("in_flight", load.get("waiting"))) is not None:
+            fleet.reported(i, now, reported, TOOK_WEIGHT)
         if outcome in (UNREACHED, BROKEN, TIMED_OUT):
             self._strike(now, i)
         elif outcome in (OK, ERROR, FULL):
-            gap = now - max(fleet.last_reply[i], fleet.busy_since[i])
-            fleet.gap[i] += (gap - fleet.gap[i]) * GAP_WEIGHT
-            fleet.last_reply[i], fleet.strikes[i], fleet.shun_until[i] = now, 0, 0
+            fleet.answered(i, now, GAP_WEIGHT)
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
             fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
-        late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.soft_deadline)
+        within = self.methods[rpc.method].soft_deadline * (SHED_NEAR if self.shed > SHED_FREE else 1.0)
+        late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.arrived + within)
         if late or outcome == OK:
             self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
         used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
@@ -595,22 +558,17 @@
         """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
         that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter."""
         fleet, doubted = self.fleet, set()
-        for i in range(len(fleet.ids)):
-            if fleet.out[i] and now >= fleet.shun_until[i]:
-                silence = now - max(fleet.last_reply[i], fleet.busy_since[i])
-                if silence > SUSPECT * max(fleet.gap[i], SWEEP):
-                    self._strike(now, i)
-                    doubted.add(i)
-        if not doubted:
-            return
-        for rpc in list(self.rpcs.values()):
+        for i in (i for i, out in enumerate(fleet.out) if out and now >= fleet.shun_until[i]):
+            if fleet.silence(i, now) > SUSPECT * max(fleet.gap[i], SWEEP):
+                self._strike(now, i)
+                doubted.add(i)
+        for rpc in list(self.rpcs.values()) if doubted else ():
             if rpc.ended or rpc.streaming or rpc.out() != 1 or now > rpc.soft_deadline:
                 continue
             number, pick = next((n, pick) for n, pick in enumerate(rpc.picks) if pick.outcome is None)
             method = self.methods[rpc.method]
-            if pick.instance not in doubted or method.effect == NON_IDEMPOTENT or pick.cancelled:
-                continue
-            if len(rpc.picks) >= self.allow.max_picks:
+            spent = pick.cancelled or len(rpc.picks) >= self.allow.max_picks
+            if spent or method.effect == NON_IDEMPOTENT or pick.instance not in doubted:
                 continue
             if self.allow.second_copies:
                 target = self._target(now, rpc) if self._may_pick(now, rpc) else None
@@ -659,9 +617,9 @@
         if wanted[2] == NO_VOTE and (self.cast[2] == NO_VOTE or self.cast[:2] != wanted[:2]):
             return
         if wanted != self.cast:
+            grounds = f"outcomes {self.outcomes} W {max(self.sums.values(), default=0.0):.1f}"
             where = f"build {wanted[0]} stage {wanted[1]} told {self.stage}"
-            highest = max(self.sums.values(), default=0.0)
-            self.notes.append(f"vote {wanted[2]} {where} outcomes {self.outcomes} W {highest:.1f}")
+            self.notes.append(f"vote {wanted[2]} {where} {grounds}")
         self.cast, self.vote_out = wanted, True
         life = min(RENEW, int(self.plan.vote_stands * RENEW / (6 * SECOND)))
         self.vote_at = now + (int(life * self.random.uniform(0.5, 1.0)) if wanted[2] == ON else life)
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
 from math import exp
-from struct import Struct
 from typing import NamedTuple
 
-HEAD, ROW = Struct("<HH"), Struct("<HHHI")
-
 
 class Counts(NamedTuple):
     """Outcomes of one method at one build: how many, how many failed, how many timed, their time in all."""
@@ -22,34 +18,11 @@
         return Counts(*(a + times * b for a, b in zip(self, other, strict=True)))
 
 
-def pack(token: int, builds: Sequence[int], methods: int, counts: dict[tuple[int, int], Counts]) -> bytes:
-    """A gateway's counts since its start, for its peers; times in milliseconds."""
-    words = bytearray()
-    for build in builds:
-        words += HEAD.pack(token, build)
-        for m in range(methods):
-            row = counts.get((build, m), Counts())
-            picks, failed, served = (min(figure, 0xFFFF) for figure in row[:3])
-            words += ROW.pack(picks, failed, served, min(row.time // 1000, 0xFFFFFFFF))
-    return bytes(words)
-
-
-def unpack(words: bytes, methods: int) -> Iterator[tuple[int, int, int, Counts]]:
-    """Token, build, method and counts; what is cut or does not add up is passed over."""
-    size = HEAD.size + methods * ROW.size
-    for start in range(0, len(words) - size + 1, size):
-        token, build = HEAD.unpack_from(words, start)
-        for m in range(methods):
-            picks, failed, served, time = ROW.unpack_from(words, start + HEAD.size + m * ROW.size)
-            if failed + served <= picks:
-                yield token, build, m, Counts(picks, failed, served, time * 1000)
-
-
 class CapBucket:
     """Tokens of depth `depth`, `share` of one for each RPC taken: so no window can hold more than its cap."""
 
-    def __init__(self, depth: float, taken: int, row: int) -> None:
-        self.depth, self.tokens, self.share, self.taken, self.row = depth, depth, 0.0, taken, row
+    def __init__(self, depth: float, taken: int, share: float) -> None:
+        self.depth, self.tokens, self.share, self.taken = depth, depth, share, taken
 
     def settle(self, taken: int) -> float:
         self.tokens = min(self.depth, self.tokens + self.share * (taken - self.taken))
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -35,6 +35,7 @@
         self.reported_at: list[int] = []
         self.cold_tokens: list[float] = []
         self.cold_mark: list[float] = []
+        self.others_mean = 0.0
         self.rank: list[int] = []
         self.ready: list[int] = []
         self.sizes: list[float] = []
@@ -83,3 +84,21 @@
         self.gap[i], self.limit[i] = gap, limit
         self.failing[i], self.strikes[i], self.shun_until[i] = 0.0, 0, 0
         self.others[i], self.cold_tokens[i], self.cold_mark[i] = 0.0, 0.0, -1.0
+
+    def sent(self, i: int, now: int) -> None:
+        if not self.out[i]:
+            self.busy_since[i] = now
+        self.out[i] += 1
+
+    def silence(self, i: int, now: int) -> int:
+        """How long an instance with something out has not answered."""
+        return now - max(self.last_reply[i], self.busy_since[i])
+
+    def answered(self, i: int, now: int, weight: float) -> None:
+        self.gap[i] += (self.silence(i, now) - self.gap[i]) * weight
+        self.last_reply[i], self.strikes[i], self.shun_until[i] = now, 0, 0
+
+    def reported(self, i: int, now: int, in_flight: float, weight: float) -> None:
+        """A load report: what others have there, and the fleet's mean of that for its size."""
+        self.others[i], self.reported_at[i] = max(0.0, in_flight - self.out[i]), now
+        self.others_mean += (self.others[i] / self.size[i] - self.others_mean) * weight
--- a/linenbridge/state/rpcs.py
+++ b/linenbridge/state/rpcs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import heapq
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from linenbridge.interface import NEVER_RAN
@@ -40,3 +42,27 @@
 
     def out(self) -> int:
         return sum(pick.outcome is None for pick in self.picks)
+
+
+class OpenRpcs(dict[str, Rpc]):
+    """Open RPCs by id, and when each must have had its final answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.due: list[tuple[int, str]] = []
+
+    def add(self, rpc: Rpc, due: int) -> None:
+        self[rpc.id] = rpc
+        heapq.heappush(self.due, (due, rpc.id))
+
+    def end(self, rpc: Rpc) -> None:
+        """Over for the client; kept while a pick is still out."""
+        rpc.ended = True
+        if not rpc.out():
+            self.pop(rpc.id, None)
+
+    def overdue(self, now: int) -> Iterator[Rpc]:
+        while self.due and self.due[0][0] <= now:
+            rpc = self.get(heapq.heappop(self.due)[1])
+            if rpc and not rpc.ended and not rpc.streaming:
+                yield rpc
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,8 @@
 
 from linenbridge import interface as face
 from linenbridge.choice import ON_OUTCOMES, SECOND, Choice
-from linenbridge.state.counters import Counts, pack
+from linenbridge.state.counters import Counts
+from linenbridge.state.peers import pack
 from tests.helpers import MS, entry, pull, running, startup
 
 
@@ -201,3 +202,37 @@
     for words in told:
         peer.on_peer(0, 1, words)
     assert 0 < peer.outcomes <= gateway.told[2, 0].picks
+
+
+def test_late_answers_shed_low_utility_first_and_it_ends():
+    gateway = running()
+    for n in range(8):
+        gateway.on_rpc(0, f"r{n}", ("look", "charge")[n % 2], 4 * SECOND, None, "", None)
+    pull(gateway, 0)
+    for n in range(8):
+        gateway.on_reply(3 * SECOND, f"r{n}", 0, face.TIMED_OUT, False, 3 * SECOND, {})
+    pull(gateway, 3 * SECOND)
+    shed = [(utility, gateway._sheds(3 * SECOND, utility)) for utility in (1.0, 4.0) * 300]
+    assert shed.count((1.0, True)) > 1.1 * shed.count((4.0, True)) > 0
+    assert not any(gateway._sheds(200 * SECOND, 1.0) for _ in range(300))
+
+
+def test_the_order_of_instances_outlives_a_restart_and_other_instances():
+    def order(entries: list, number: int = 0) -> list[int]:
+        gateway = Choice(startup(number=number), seed=number, now=0)
+        gateway.on_list(0, entries, whole=True, answers=True)
+        return [gateway.fleet.ids[i] for i in gateway.near[1]]
+
+    few = order([entry(n) for n in range(1, 20)])
+    assert few == [n for n in order([entry(n) for n in range(30, 0, -1)]) if n < 20]
+    firsts = {order([entry(n) for n in range(1, 20)], number)[0] for number in range(60)}
+    assert len(firsts) > 12, "hundreds of gateways do not crowd on the same few"
+
+
+def test_no_instance_ready_and_news_against_the_list_raise_nothing():
+    gateway = running(gateways=1, may_tell=True)
+    gateway.on_list(0, [], whole=True, answers=True)
+    gateway.on_stage(0, 9, 1, face.ON_TRIAL, 1.0, vote=False, valid=True)
+    gateway.on_rpc(0, "r", "look", SECOND, None, "", None)
+    answers = [d for step in range(25) for d in pull(gateway, step * 50 * MS)]
+    assert [d[0] for d in answers if d[0] in (face.PICK, face.PUSH_BACK, face.ABORT)] == [face.PUSH_BACK]
