--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -389,9 +389,7 @@
             bucket.tokens -= 1.0
         if self._warmth(i, now) < 1.0:
             fleet.cold_tokens[i] -= rpc.cost
-        # While shedding, what waits past its soft deadline is not begun: the work would serve nobody in time.
-        until = rpc.soft_deadline if self.shed > SHED_FREE and now < rpc.soft_deadline else rpc.deadline
-        return PICK, rpc.id, fleet.ids[i], max(1, until - now)
+        return PICK, rpc.id, fleet.ids[i], max(1, rpc.deadline - now)
 
     # ---- the guards behind the rules -------------------------------------------------------------
 
