--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -48,8 +48,8 @@
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: a share goes back at once, more with each late answer; once it acts, well in time is asked for.
-SHED_UP, SHED_DOWN, SHED_MEMORY, FULL_MOST = 0.1, 0.025, 60 * SECOND, 2
-SHED_FREE, SHED_MOST, SHED_NEAR = 0.3, 0.9, 0.6
+SHED_UP, SHED_DOWN, SHED_MEMORY, FULL_MOST = 0.15, 0.035, 60 * SECOND, 2
+SHED_FREE, SHED_MOST, SHED_NEAR = 0.3, 0.95, 0.75
 
 # Instances that a gateway keeps to: each is used so often before its connection would idle out.
 REACH_USES, REACH_LEAST, LATELY = 3.0, 3, 3 * SECOND
@@ -374,7 +374,7 @@
         self._weigh_shed(now, 0.0)
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
-        part = min(SHED_MOST, 2 * (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1 - rank))
+        part = min(SHED_MOST, (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1.5 - rank))
         return self._few(now) and self.random.random() < part
 
     def _weigh_shed(self, now: int, step: float) -> None:
