--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -48,7 +48,7 @@
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: a share goes back at once, more with each late answer; once it acts, well in time is asked for.
-SHED_UP, SHED_DOWN, SHED_MEMORY, FULL_MOST = 0.15, 0.035, 60 * SECOND, 2
+SHED_UP, SHED_DOWN, SHED_STREAK, FULL_MOST = 0.15, 0.015, 8, 2
 SHED_FREE, SHED_MOST, SHED_NEAR = 0.3, 0.95, 0.75
 
 # Instances that a gateway keeps to: each is used so often before its connection would idle out.
@@ -77,7 +77,7 @@
         self.tenants = Parts(TENANT_MEMORY)
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.work = 0.0
-        self.shed, self.shed_at, self.utilities = 0.0, now, deque([0.0], maxlen=30)
+        self.shed, self.streak, self.utilities = 0.0, 0, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
@@ -371,15 +371,15 @@
 
     def _sheds(self, now: int, utility: float) -> bool:
         """Overload seen by a gateway too small for limits to bind: RPCs go by chance, low utility first."""
-        self._weigh_shed(now, 0.0)
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
         part = min(SHED_MOST, (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1.5 - rank))
         return self._few(now) and self.random.random() < part
 
-    def _weigh_shed(self, now: int, step: float) -> None:
-        shed = self.shed * exp((self.shed_at - now) / SHED_MEMORY)
-        self.shed, self.shed_at = min(1.0, max(0.0, shed + step)), now
+    def _weigh_shed(self, late: bool) -> None:
+        """Timely answers in a row count ever more, so that it ends soon after the load does."""
+        self.streak = 0 if late else min(self.streak + 1, SHED_STREAK)
+        self.shed = min(1.0, max(0.0, self.shed + (SHED_UP if late else -SHED_DOWN * self.streak)))
 
     def _send(self, now: int, rpc: Rpc, i: int) -> tuple:
         fleet, build = self.fleet, self.fleet.build[i]
@@ -538,7 +538,7 @@
         within = self.methods[rpc.method].soft_deadline * (SHED_NEAR if self.shed > SHED_FREE else 1.0)
         late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.arrived + within)
         if late or outcome == OK:
-            self._weigh_shed(now, SHED_UP if late else -SHED_DOWN)
+            self._weigh_shed(late)
         used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
         if outcome == OK and took < EARLY_SHARE * soft and used:
             fleet.limit[i] = min(LIMIT_MOST, fleet.limit[i] + 1 / fleet.limit[i])
