--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -31,7 +31,7 @@
 LEAST_THRESHOLD, H, HOLD_LEVEL, PART = 5.0, 10.0, 0.2, 1.2
 ON_OUTCOMES, ON_MOST, ON_WAIT = 20, 0.5, 4 * SECOND
 RENEW, VOTE_RETRY, VOTE_RETRY_MOST = 4 * SECOND, 300 * MS, 2 * SECOND
-SEND_SHARE, RECORD_MEMORY = 0.9, 60
+SEND_SHARE, RECORD_MEMORY, HOUR_P0 = 0.9, 60, 0.1
 # Others' counts, for a gateway with too few outcomes of its own: tallies of late, messages to some peers.
 TALLY_STALE, TELL_EVERY, PEERS = 4, 1 * SECOND, 8
 
@@ -253,7 +253,7 @@
             if i is None and not self._comparable(build):
                 # Tallies can't tell a time-out from an error: the build's best other method shows the hour.
                 rest = [r for (b, row), r in self.records.items() if b == build and row != m and r.outcomes]
-                p0 = max(p0, min((r.failed / r.outcomes for r in rest), default=P0_MOST))
+                p0 = max(p0, HOUR_P0, min((r.failed / r.outcomes for r in rest), default=P0_MOST))
             p0 = min(max(P0_FLOOR, p0), P0_MOST)
             for bit, step in P1_STEPS.items():
                 up, down = log((p0 + step) / p0), log((1 - p0 - step) / (1 - p0))
