--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -48,7 +48,7 @@
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: a share goes back at once, more with each late answer; once it acts, well in time is asked for.
-SHED_UP, SHED_DOWN, SHED_STREAK, FULL_MOST = 0.12, 0.03, 6, 2
+SHED_UP, SHED_DOWN, SHED_STREAK, FULL_MOST = 0.15, 0.015, 8, 2
 SHED_FREE, SHED_MOST, SHED_NEAR = 0.3, 0.95, 0.75
 
 # Instances that a gateway keeps to: each is used so often before its connection would idle out.
