--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -44,7 +44,7 @@
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
 LATE_SHARE, EARLY_SHARE, LIMIT_CUT = 0.4, 0.25, 0.8
-COLD_ASIDE, COLD_LEAST, FLEET_MEMORY = 0.9, 0.3, 30 * SECOND
+COLD_ASIDE, COLD_LEAST, COLD_CALM, FLEET_MEMORY = 0.9, 0.3, 0.2, 30 * SECOND
 TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
 
 # Shedding: a share goes back at once, more with each late answer; once it acts, well in time is asked for.
@@ -454,11 +454,11 @@
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
         size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
         Earned by RPC placed, not by time: a rate from few arrivals runs high, and what is shed loads nobody.
-        The fleet counts as of late: in place, half may drain as half starts."""
+        Retry storms swell even that: less the more is shed. The fleet counts as of late: half may drain."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
-        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth
+        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth * max(COLD_CALM, 1 - self.shed)
         part *= fleet.size[i] / self.fleet_size
         if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole ones, or of light RPCs, would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
