--- /dev/null
+++ b/linenbridge/__main__.py
@@ -0,0 +1,154 @@
+"""One real gateway: `python -m linenbridge`.
+
+Owns the start and the end of the process: it reads what the gateway is told, puts the parts together, and
+hands signals on. It must never decide, nor hold anything once the parts run.
+"""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+import time
+from functools import partial
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+from twisted.internet import reactor
+from twisted.logger import globalLogBeginner
+
+from linenbridge.choice import Choice
+from linenbridge.net.clients import Clients
+from linenbridge.net.discovery import Discovery, Listing, host_port
+from linenbridge.net.follow import Follow
+from linenbridge.net.instances import Instances
+from linenbridge.net.log import Log
+from linenbridge.net.loop import Loop
+from linenbridge.net.platform import News, Platform
+from linenbridge.startup import Info, micros, startup
+
+TOLD = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
+# The listener, both streams with their second connections, and two votes.
+BESIDE_INSTANCES = 7
+
+
+class Limits(Struct):
+    sockets: int
+    memory_mb: float
+
+
+class Desk(Struct):
+    """The platform's part of the configuration."""
+
+    address: str
+    news: News | None = None
+
+
+class Station(Struct):
+    """All that one gateway is told when it starts."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: str
+    limits: Limits
+    platform: Desk
+    settings: Info
+    known: Listing | None = None
+
+
+def station(environ: dict[str, str]) -> Station:
+    """The configuration, with the environment for what it leaves out; ValueError holds one plain line."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ValueError("LB_CONFIG is not set")
+    try:
+        with open(path, "rb") as file:
+            told = msgspec.json.decode(file.read())
+        if not isinstance(told, dict):
+            raise ValueError("it holds no object")
+        named = {field: environ[name] for field, name in TOLD.items() if name in environ}
+        found = msgspec.json.decode(msgspec.json.encode({**named, **told}), type=Station)
+        for address in (found.listen, found.discovery, found.platform.address):
+            host_port(address)
+        int(found.seed, 16)
+    except (OSError, ValueError) as error:
+        raise ValueError(f"configuration {path}: {error}") from None
+    return found
+
+
+def now() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def build(at: Station, log: Log, reactor: Any) -> tuple[Clients, Loop]:
+    """The parts of one gateway; the module has heard the list and the news before anyone can ask."""
+    settings, start = at.settings, startup(at.settings)
+    methods = {method.name: method for method in start.methods}
+    connect_wait = micros(settings.permissions.connect_timeout)
+    answer_wait = micros(settings.family_info.answer_wait)
+    most = at.limits.sockets - len(os.listdir("/proc/self/fd")) - BESIDE_INSTANCES
+    loop = Loop(Choice(start, int(at.seed, 16), now()), reactor, now, log)
+    instances = Instances(loop, reactor, most, connect_wait, micros(settings.permissions.idle_close), log)
+    line_most = int(at.limits.memory_mb * (1 << 20)) // 16  # a list beyond this would not be held anyway
+    follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
+    unix_offset = now() - time.time_ns() // 1000
+    discovery = Discovery(
+        loop, instances, unix_offset, settings.discovery == "push", log,
+        partial(follow, address=host_port(at.discovery)),
+    )  # fmt: skip
+    address = host_port(at.platform.address)
+    platform = Platform(
+        loop, reactor, address, methods, connect_wait, answer_wait, log, partial(follow, address=address)
+    )
+    loop.instances, loop.platform, loop.discovery = instances, platform, discovery
+    if at.known is not None:
+        discovery.take(at.known, answers=False)
+    if at.platform.news is not None:
+        platform.stands(at.platform.news, vote=False)
+    loop.turn()
+    discovery.start()
+    platform.start()
+    return Clients(loop, methods, instances.descriptors, log), loop
+
+
+def main() -> int:
+    try:
+        at = station(dict(os.environ))
+    except ValueError as error:
+        print(f"linenbridge: {error}", file=sys.stderr)
+        return 2
+    log = Log(sys.stderr.buffer)
+    globalLogBeginner.beginLoggingTo([partial(unhandled, log)], redirectStandardIO=False, discardBuffer=True)
+    clients, loop = build(at, log, reactor)
+    clients.listen(reactor, *host_port(at.listen))
+    log.event("started", name=at.name, listen=at.listen)
+
+    def stop(*_: object) -> None:
+        log.event("stopping", open=loop.unanswered)
+        clients.stop(reactor, reactor.stop)
+
+    def counters(*_: object) -> None:
+        log.counters(open=loop.unanswered, descriptors=clients.descriptors.open)
+
+    for number, handler in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGUSR1, counters)):
+        signal.signal(number, lambda *_, handler=handler: reactor.callFromThread(handler))
+    # What the start has left never goes: keep the collector from walking over it while RPCs wait.
+    gc.collect()
+    gc.freeze()
+    reactor.run(installSignalHandlers=False)
+    counters()
+    log.event("stopped")
+    return 0
+
+
+def unhandled(log: Log, event: dict[str, Any]) -> None:
+    """Errors that Twisted caught on its own."""
+    if (failure := event.get("log_failure")) is not None:
+        log.failed("twisted", failure.value)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -10,13 +10,14 @@
 
 from collections import deque
 from collections.abc import Iterator
+from itertools import islice
 from math import ceil, exp, inf, log, sqrt
 from random import Random
 
 from linenbridge.interface import (
     ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
     ON_TRIAL, PICK, PUSH_BACK, RELEASED, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
-    ListEntry, Startup,
+    Id, ListEntry, Startup,
 )  # fmt: skip
 from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts
 from linenbridge.state.fleet import Fleet
@@ -71,19 +72,18 @@
         self.passing: Iterator[tuple] | None = None
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.sweep_at, self.watch_wait = now, LIST_RETRY
-        self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, now
+        self.work, self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, 0.0, now
         self.lately = DecayingRate(LATELY)
         self.near: dict[int, list[int]] = {}
         self.tenants = Parts(TENANT_MEMORY)
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
-        self.work = 0.0
         self.shed, self.streak, self.utilities = 0.0, 0, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
         self.taken = [0] * (len(self.methods) + 1)
         self.buckets: dict[tuple[int, int], CapBucket] = {}
-        self.moved: dict[int, int] = {}
+        self.moved: dict[Id, int] = {}
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
         self.judged, self.outcomes, self.withdrawn = -1, 0, set()
@@ -101,8 +101,7 @@
 
     def on_list(self, now: int, entries: list[ListEntry], *, whole: bool, answers: bool) -> None:
         self.fleet.update(entries, whole, GAP_START, LIMIT_START)
-        if answers:
-            self.watch_wait = LIST_RETRY
+        self.watch_wait = LIST_RETRY if answers else self.watch_wait
         ready, self.near = sum(self.fleet.sizes), self.fleet.near
         keep = exp((self.listed_at - now) / FLEET_MEMORY) if self.fleet_size else 0.0
         self.fleet_size, self.listed_at = self.fleet_size * keep + ready * (1 - keep), now
@@ -115,7 +114,7 @@
         self.watch_wait = min(2 * self.watch_wait, LIST_RETRY_MOST)
 
     def on_rpc(
-        self, now: int, rpc: str, method: str, ttl: int, work: int | None, tenant: str, key: int | None
+        self, now: int, rpc: str, method: str, ttl: int, work: int | None, tenant: str, key: Id | None
     ) -> None:
         m = self.row[method]
         table, cost = self.methods[m], 1.0
@@ -200,7 +199,7 @@
             if self._few(now):
                 self._hear(build, m, counts)
 
-    def on_flag(self, now: int, instance: int, method: str) -> None:
+    def on_flag(self, now: int, instance: Id, method: str) -> None:
         i = self.fleet.index.get(instance)
         if i is not None:
             self._hear(self.fleet.build[i], self.row[method], Counts(1, 1, 0, 0), i)
@@ -351,18 +350,21 @@
         self.waiting = []
         crowded: set[int] = set()
         for rpc in queue:
+            fresh, late = not rpc.picks, now + self.took[rpc.method] > rpc.soft_deadline
+            if fresh and not late and rpc.arrived < now and rpc.method in crowded:
+                self.waiting.append(rpc)
+                continue
             full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
             spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
             spent = spent or (rpc.arrived == now and self._sheds(now, rpc.utility))
             if spent or not self._may_pick(now, rpc):
                 yield self._final(rpc)
                 continue
-            fresh = not rpc.picks
             self.work_taken += rpc.cost * (rpc.arrived == now)
             i = None if fresh and rpc.method in crowded else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
-            elif now + self.took[rpc.method] > rpc.soft_deadline:
+            elif late:
                 yield self._final(rpc)
             else:
                 self.waiting.append(rpc)
@@ -395,8 +397,8 @@
 
     def _may_pick(self, now: int, rpc: Rpc) -> bool:
         """Rule 2, asked before every pick: may this RPC go out (again) at all?"""
-        if rpc.streaming or (rpc.out() and not self.allow.second_copies):
-            return False
+        if not rpc.picks or rpc.streaming or (rpc.out() and not self.allow.second_copies):
+            return not rpc.picks
         ran = rpc.first_that_may_have_run()
         method = self.methods[rpc.method]
         if ran is None or method.effect == IDEMPOTENT:
@@ -405,9 +407,8 @@
 
     def _in_group(self, rpc: Rpc, i: int) -> bool:
         """Rule 2 for tokened RPCs: a repeat stays among the instances that drop it."""
-        ran = rpc.first_that_may_have_run()
         method, fleet = self.methods[rpc.method], self.fleet
-        if ran is None or method.effect != TOKENED or method.group == "all":
+        if method.effect != TOKENED or method.group == "all" or not (ran := rpc.first_that_may_have_run()):
             return True
         group = fleet.zone if method.group == "zone" else fleet.cell
         return group[i] == group[ran.instance]
@@ -463,8 +464,7 @@
         if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole ones, or of light RPCs, would meet here.
             fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
         earned = part * (self.work_taken - fleet.cold_mark[i])
-        fleet.cold_tokens[i] = min(1.0, fleet.cold_tokens[i] + earned)
-        fleet.cold_mark[i] = self.work_taken
+        fleet.cold_tokens[i], fleet.cold_mark[i] = min(1.0, fleet.cold_tokens[i] + earned), self.work_taken
         return fleet.cold_tokens[i] >= 1.0
 
     # ---- choosing an instance --------------------------------------------------------------------
@@ -475,7 +475,7 @@
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
         if not (builds := [b for b in self.near if b >= least and self._exposed(b, rpc.method)]):
             return None
-        drawn = self.random.choices(self.fleet.ready, self.fleet.sizes)[0]
+        drawn = self.random.choices(self.fleet.ready, cum_weights=self.fleet.sums)[0]
         wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
         builds.sort(key=lambda b: b == self.judged if rpc.picks else (b == wanted) == full)
         sound = any(self._sound(i, now) for b in builds for i in self.near[b])
@@ -487,13 +487,14 @@
         own lasting order: as many as its traffic keeps connections open to, others in place of sick ones."""
         fleet, tried = self.fleet, {pick.instance for pick in rpc.picks}
         uses = self.lately.per_second(now) * self.allow.idle_close / SECOND / REACH_USES
-        reach, room = max(REACH_LEAST, uses * len(self.near[build]) / len(fleet.ready)), []
-        for i in self.near[build]:
-            if (not sound or self._sound(i, now)) and self._in_group(rpc, i) and self._has_room(i, rpc):
-                if self._cold_room(now, i):
-                    room.append(i)
-                if len(room) >= reach:
-                    break
+        reach = ceil(max(REACH_LEAST, uses * len(self.near[build]) / len(fleet.ready)))
+        shun, failing, warm = fleet.shun_until, fleet.failing, now - self.allow.cold
+        room = list(islice((  # The plainest grounds first: this is asked of many instances for every RPC.
+            i for i in self.near[build]
+            if (shun[i] <= now and failing[i] < FAIL_MOST or not sound or self._sound(i, now))
+            and self._has_room(i, rpc) and (not rpc.picks or self._in_group(rpc, i))
+            and (fleet.started[i] <= warm or self._cold_room(now, i))
+        ), reach))  # fmt: skip
         if not (room := [i for i in room if i not in tried] or room):
             return None
         first, second = self.random.choices(room, [fleet.size[i] for i in room], k=2)
@@ -504,9 +505,8 @@
 
     def _has_room(self, i: int, rpc: Rpc) -> bool:
         """An instance back from a strike is tried with one RPC that may be repeated."""
-        if self.fleet.strikes[i]:
-            return self.fleet.out[i] == 0 and self.methods[rpc.method].effect != NON_IDEMPOTENT
-        return self.fleet.out[i] < self.fleet.limit[i]
+        fleet, safe = self.fleet, self.methods[rpc.method].effect != NON_IDEMPOTENT
+        return fleet.out[i] < fleet.limit[i] if not fleet.strikes[i] else safe and not fleet.out[i]
 
     def _crowding(self, i: int, now: int) -> float:
         """In flight for its size and warmth; an instance that fails quickly must not look empty."""
--- /dev/null
+++ b/linenbridge/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real gateway: sockets before the decisions of `linenbridge.choice`."""
--- /dev/null
+++ b/linenbridge/net/discovery.py
@@ -0,0 +1,115 @@
+"""Discovery: the list of instances, followed for the life of the process.
+
+Owns the version last heard and the watch's stream. It turns entries into the module's, with Unix times
+moved to the gateway's clock in one place. It must never judge an instance, nor let a bad entry undo what is
+known.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Literal
+
+import msgspec
+from msgspec import Struct
+
+from linenbridge import interface as face
+from linenbridge.net.follow import Follow
+from linenbridge.net.instances import Instances
+from linenbridge.net.log import Log
+from linenbridge.net.loop import Loop
+from linenbridge.startup import LONG_AGO
+
+SIGN_OF_LIFE = 2.0  # PROTOCOL, Discovery: an empty line comes every 2 s
+STATES = {"active": face.READY, "leaving": face.DRAINING, "left": face.GONE}
+
+
+class Endpoint(Struct):
+    """One entry of the list."""
+
+    name: str
+    address: str
+    status: Literal["active", "leaving", "left"]
+    release: int
+    zone: str = ""
+    group: int = 0
+    weight: float = 1.0
+    since_ms: float = 0.0
+
+
+class Listing(Struct):
+    """A version of the list: all of it, or what has changed."""
+
+    index: int
+    snapshot: bool
+    endpoints: list[msgspec.Raw]
+
+
+def host_port(address: str) -> tuple[str, int]:
+    """An address as `host:port` in its two parts."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+        raise ValueError(f"{address!r} is no address")
+    return host, int(port)
+
+
+class Discovery:
+    """What discovery tells, handed to the instances' connections and to the module."""
+
+    def __init__(
+        self, loop: Loop, instances: Instances, unix_offset: int, pushes: bool, log: Log,
+        follow: Callable[..., Follow],
+    ) -> None:  # fmt: skip
+        self.loop, self.instances, self.log = loop, instances, log
+        self.unix_offset, self.pushes, self.index = unix_offset, pushes, 0
+        self.follow = follow(name="discovery", path=self._path, told=self.told, sign=SIGN_OF_LIFE)
+
+    def _path(self) -> str:
+        return f"/catalog/members?follow=1&since={self.index}"
+
+    def start(self) -> None:
+        """Where the list comes unasked, the watch stands from the start; else the module asks for it."""
+        if self.pushes:
+            self.follow.start()
+
+    def watch(self) -> None:
+        self.follow.start()
+
+    def told(self, line: memoryview) -> None:
+        try:
+            listing = msgspec.json.decode(line, type=Listing)
+        except msgspec.DecodeError as error:
+            self._unread(str(error))
+            return
+        self.take(listing, answers=True)
+
+    def take(self, listing: Listing, answers: bool) -> None:
+        """A list or its changes, to the connections now and to the module in the next turn."""
+        self.index = listing.index
+        listed, whole = [], listing.snapshot
+        for raw in listing.endpoints:
+            try:
+                row = msgspec.json.decode(raw, type=Endpoint)
+                listed.append((self._entry(row), host_port(row.address)))
+            except (msgspec.DecodeError, ValueError) as error:
+                self._unread(str(error))
+                whole = False  # What the unread entry is about stays as it is known.
+        self.instances.listed(listed, whole)
+        entries = [entry for entry, _ in listed]
+        self.loop.gather(lambda now: self.loop.gateway.on_list(now, entries, whole=whole, answers=answers))
+
+    def _entry(self, row: Endpoint) -> face.ListEntry:
+        """Unix milliseconds become the gateway's microseconds: here alone, and always to the same figure."""
+        started = round(row.since_ms * 1000) + self.unix_offset if row.since_ms else LONG_AGO
+        return face.ListEntry(
+            row.name, row.release, row.zone, row.group, STATES[row.status], row.weight, started
+        )
+
+    def _unread(self, error: str) -> None:
+        self.log.count("malformed.discovery")
+        self.log.event("malformed", of="discovery", error=error)
+
+
+def first_listing(known: dict[str, Any]) -> Listing:
+    """The list as the configuration holds it."""
+    return msgspec.json.decode(msgspec.json.encode(known), type=Listing)
--- /dev/null
+++ b/linenbridge/net/http.py
@@ -0,0 +1,152 @@
+"""HTTP/1.1 as a client: cuts what was read into answers and lines, and words requests.
+
+Owns the bytes of a head, a chunk's length or a line that has not wholly come. Pieces of bodies are slices
+of the buffer that they were read into. It must never touch a socket, a clock or the meaning of a body.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from linenbridge.net.resp import END, MalformedError
+
+HEAD_MOST = 64 * 1024  # of a status line with its fields: what RESP allows a value
+HEX = b"0123456789abcdefABCDEF"
+NEWLINE = re.compile(rb"\n")
+
+
+class Piece(NamedTuple):
+    """Part of an answer's body; `last` where the answer ends with it."""
+
+    status: int
+    body: memoryview
+    last: bool
+
+
+class Answers:
+    """Cuts one connection's bytes into answers, each with a stated length or in chunks."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+        self.status, self.left = 0, 0
+        self.at = self._head
+
+    def feed(self, data: bytes) -> Iterator[Piece]:
+        """What has come of the answers; MalformedError where the framing is lost."""
+        buffer = self.rest + data if self.rest else data
+        view, start = memoryview(buffer), 0
+        while True:
+            piece, after = self.at(buffer, view, start)
+            if piece is not None:
+                yield piece
+            elif after == start:
+                break
+            start = after
+        self.rest = buffer[start:]
+
+    def _line(self, buffer: bytes, start: int, ending: bytes) -> int:
+        end = buffer.find(ending, start, start + HEAD_MOST)
+        if end < 0 and len(buffer) - start >= HEAD_MOST:
+            raise MalformedError("a head or line is too long")
+        return end
+
+    def _head(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        end = self._line(buffer, start, END + END)
+        if end < 0:
+            return None, start
+        first, *fields = buffer[start:end].split(END)
+        version, _, rest = first.partition(b" ")
+        if not version.startswith(b"HTTP/1.") or not rest[:3].isdigit():
+            raise MalformedError(f"no status line: {first[:40]!r}")
+        self.status = int(rest[:3])
+        named = {}
+        for field in fields:
+            name, _, value = field.partition(b":")
+            named[name.strip().lower()] = value.strip()
+        after = end + 4
+        if self.status < 200:
+            return None, after
+        if named.get(b"transfer-encoding", b"").lower() == b"chunked":
+            self.at = self._size
+            return None, after
+        length = b"0" if self.status in (204, 304) else named.get(b"content-length", b"")
+        if not length.isdigit() or len(length) > 9:
+            raise MalformedError("an answer has neither a length nor chunks")
+        self.left = int(length)
+        if not self.left:
+            return Piece(self.status, view[after:after], True), after
+        self.at = self._body
+        return None, after
+
+    def _body(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        end = min(len(buffer), start + self.left)
+        if end == start:
+            return None, start
+        self.left -= end - start
+        if not self.left:
+            self.at = self._head
+        return Piece(self.status, view[start:end], not self.left), end
+
+    def _size(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        end = self._line(buffer, start, END)
+        if end < 0:
+            return None, start
+        digits = buffer[start:end].partition(b";")[0].strip()
+        if not digits or len(digits) > 8 or digits.strip(HEX):
+            raise MalformedError("a chunk's length is no number")
+        self.left = int(digits, 16)
+        self.at = self._chunk if self.left else self._trailer
+        return None, end + 2
+
+    def _chunk(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        end = min(len(buffer), start + self.left)
+        if end == start:
+            return None, start
+        self.left -= end - start
+        if not self.left:
+            self.at = self._chunk_end
+        return Piece(self.status, view[start:end], False), end
+
+    def _chunk_end(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        if len(buffer) < start + 2:
+            return None, start
+        if buffer[start : start + 2] != END:
+            raise MalformedError("a chunk does not end where its length says")
+        self.at = self._size
+        return None, start + 2
+
+    def _trailer(self, buffer: bytes, view: memoryview, start: int) -> tuple[Piece | None, int]:
+        end = self._line(buffer, start, END)
+        if end < 0:
+            return None, start
+        if end > start:
+            return None, end + 2
+        self.at = self._head
+        return Piece(self.status, view[start:start], True), end + 2
+
+
+class Lines:
+    """Cuts pieces into lines; a line within one piece is a slice of it, the rest is copied until its end."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.begun = most, bytearray()
+
+    def feed(self, piece: memoryview) -> Iterator[memoryview]:
+        start = 0
+        for found in NEWLINE.finditer(piece):
+            line, start = piece[start : found.start()], found.end()
+            if self.begun:
+                line = memoryview(bytes(self.begun) + line)
+                self.begun.clear()
+            yield line
+        self.begun += piece[start:]
+        if len(self.begun) > self.most:
+            raise MalformedError("a line is too long")
+
+
+def request(method: str, path: str, host: str, body: bytes = b"") -> bytes:
+    """A request as it goes out."""
+    fields = f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n" if body else ""
+    return f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n{fields}\r\n".encode() + body
--- /dev/null
+++ b/linenbridge/net/log.py
@@ -0,0 +1,46 @@
+"""What a running gateway says of itself: one JSON line an event, and counters.
+
+Owns standard error and the figures counted. It must never decide what happens next, nor raise into its
+callers.
+"""
+
+from __future__ import annotations
+
+import time
+import traceback
+from collections import Counter
+from typing import BinaryIO
+
+import orjson
+
+
+class Log:
+    """Events as they happen, and counts of what is taken in, sent and answered."""
+
+    def __init__(self, stream: BinaryIO) -> None:
+        self.stream = stream
+        self.counts: Counter[tuple[str, ...]] = Counter()
+
+    def event(self, name: str, /, **fields: object) -> None:
+        """One line; a field that JSON has no form for is written as text."""
+        line = orjson.dumps({"at": round(time.time(), 3), "event": name, **fields}, default=str)
+        try:
+            self.stream.write(line + b"\n")
+            self.stream.flush()
+        except (OSError, ValueError):
+            self.counts["log", "lost"] += 1
+
+    def failed(self, where: str, error: BaseException) -> None:
+        """An exception that one call raised; the process goes on."""
+        self.counts["failed",] += 1
+        trace = "".join(traceback.format_exception(error))
+        self.event("failed", where=where, error=f"{type(error).__name__}: {error}", trace=trace)
+
+    def count(self, *names: str) -> None:
+        self.counts[names] += 1
+
+    def counters(self, **now: int) -> None:
+        """All counters in one line, with what stands open at present."""
+        self.event(
+            "counters", counts={".".join(names): count for names, count in sorted(self.counts.items())}, **now
+        )
--- /dev/null
+++ b/linenbridge/net/platform.py
@@ -0,0 +1,183 @@
+"""The platform: its news as they come, and this gateway's votes.
+
+Owns the feed's stream and one connection a vote, so that no vote meets a connection that the platform has
+closed. It must never word or repeat a vote by itself: the module hears what became of each and decides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Literal
+
+import msgspec
+import orjson
+from msgspec import Struct
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ClientCreator, Protocol
+
+from linenbridge import interface as face
+from linenbridge.net import http
+from linenbridge.net.follow import HTTP_OK, Follow
+from linenbridge.net.log import Log
+from linenbridge.net.loop import Loop
+from linenbridge.net.resp import MalformedError
+
+SIGN_OF_LIFE = 1.0  # PROTOCOL, The platform: every second a sign of life comes
+MOOT = 409
+PHASES = {
+    "testing": face.ON_TRIAL, "recalling": face.GOING_BACK, "live": face.RELEASED, "recalled": face.WITHDRAWN,
+}  # fmt: skip
+VERDICTS = {face.NO_VOTE: "none", face.ON: "on", face.HOLD: "hold", face.BACK: "back"}
+
+
+class News(Struct, rename="camel"):
+    """How the newest build stands."""
+
+    version: int
+    step: int
+    status: Literal["testing", "recalling", "live", "recalled"]
+    max_weight: float
+
+
+class Tally(Struct, rename="camel"):
+    """What the platform counted of one method at one build."""
+
+    version: int
+    kind: str
+    requests: int
+    failures: int
+    avg_ms: float = 0.0
+    observed_ago_ms: float = 0.0
+
+
+class Flag(Struct):
+    """A wrong answer that a client has reported."""
+
+    pod: str
+    kind: str
+
+
+class Told(Struct):
+    """One line of the feed; a sign of life holds nothing."""
+
+    type: str = ""
+    object: msgspec.Raw = msgspec.Raw(b"{}")
+
+
+class Call(Protocol):
+    """One request on a connection of its own; `answer` fires with its status and body, or fails."""
+
+    def __init__(self, request: bytes) -> None:
+        self.request = request
+        self.answers, self.body = http.Answers(), b""
+        self.answer: Deferred = Deferred(lambda _: self.transport.abortConnection())
+
+    def connectionMade(self) -> None:
+        self.transport.write(self.request)
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            for piece in self.answers.feed(data):
+                self.body += piece.body
+                if piece.last and not self.answer.called:
+                    self.answer.callback((piece.status, self.body))
+                    self.transport.loseConnection()
+        except MalformedError as error:
+            if not self.answer.called:
+                self.answer.errback(error)
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any) -> None:
+        if not self.answer.called:
+            self.answer.errback(reason)
+
+
+class Platform:
+    """What the platform tells, handed to the module; what the module votes, handed to the platform."""
+
+    def __init__(
+        self, loop: Loop, reactor: Any, address: tuple[str, int], methods: dict[str, face.Method],
+        connect_wait: int, answer_wait: int, log: Log, follow: Callable[..., Follow],
+    ) -> None:  # fmt: skip
+        self.loop, self.reactor, self.address, self.methods, self.log = loop, reactor, address, methods, log
+        self.connect_wait, self.answer_wait = connect_wait / 1e6, answer_wait / 1e6
+        self.feed = follow(name="feed", path=lambda: "/api/feed", told=self.told, sign=SIGN_OF_LIFE)
+
+    def start(self) -> None:
+        self.feed.start()
+
+    # ---- news ------------------------------------------------------------------------------------
+
+    def told(self, line: memoryview) -> None:
+        try:
+            told = msgspec.json.decode(line, type=Told)
+            match told.type:
+                case "stage":
+                    self.stands(msgspec.json.decode(told.object, type=News), vote=False)
+                case "tally":
+                    self._tally(msgspec.json.decode(told.object, type=Tally))
+                case "flag":
+                    self._flag(msgspec.json.decode(told.object, type=Flag))
+        except msgspec.DecodeError as error:
+            self.log.count("malformed.feed")
+            self.log.event("malformed", of="feed", error=str(error))
+
+    def stands(self, news: News, vote: bool) -> None:
+        phase = PHASES[news.status]
+        self.loop.gather(
+            lambda now: self.loop.gateway.on_stage(
+                now, news.version, news.step, phase, news.max_weight, vote=vote, valid=True, moot=False
+            )
+        )
+
+    def _tally(self, tally: Tally) -> None:
+        ended = self.loop.now() - round(tally.observed_ago_ms * 1000)
+        took = round(tally.avg_ms * 1000)
+        self.loop.gather(
+            lambda now: self.loop.gateway.on_tally(
+                now, tally.version, tally.kind, tally.requests, tally.failures, took, ended
+            )
+        )
+
+    def _flag(self, flag: Flag) -> None:
+        if flag.kind in self.methods:
+            self.loop.gather(lambda now: self.loop.gateway.on_flag(now, flag.pod, flag.kind))
+
+    # ---- votes -----------------------------------------------------------------------------------
+
+    def vote(self, build: int, stage: int, verdict: int) -> None:
+        """One call; whatever comes of it, the module hears it once."""
+        body = orjson.dumps({"version": build, "step": stage, "vote": VERDICTS[verdict]})
+        host = f"{self.address[0]}:{self.address[1]}"
+        request = http.request("POST", "/api/ballots", host, body)
+        asked = ClientCreator(self.reactor, Call, request).connectTCP(
+            *self.address, timeout=self.connect_wait
+        )
+        asked.addCallback(lambda call: call.answer)
+        asked.addTimeout(self.answer_wait, self.reactor)
+        asked.addCallbacks(self._answered, self._unanswered)
+        asked.addErrback(lambda failure: self.log.failed("vote", failure.value))
+
+    def _answered(self, answer: tuple[int, bytes]) -> None:
+        status, body = answer
+        if status == HTTP_OK:
+            try:
+                self.stands(msgspec.json.decode(body, type=News), vote=True)
+            except msgspec.DecodeError as error:
+                self.log.count("malformed.vote")
+                self.log.event("malformed", of="vote", error=str(error))
+            else:
+                self.log.count("vote.counted")
+                return
+        self._uncounted("vote.moot" if status == MOOT else f"vote.status_{status}", status == MOOT)
+
+    def _unanswered(self, failure: Any) -> None:
+        self._uncounted("vote.unanswered", False)
+
+    def _uncounted(self, what: str, moot: bool) -> None:
+        self.log.count(what)
+        self.loop.gather(
+            lambda now: self.loop.gateway.on_stage(
+                now, 0, 0, face.ON_TRIAL, 0.0, vote=True, valid=False, moot=moot
+            )
+        )
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from itertools import accumulate
 from zlib import crc32
 
-from linenbridge.interface import GONE, READY, ListEntry
+from linenbridge.interface import GONE, READY, Id, ListEntry
 
 
 class Fleet:
@@ -14,8 +15,8 @@
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.index: dict[int, int] = {}
-        self.ids: list[int] = []
+        self.index: dict[Id, int] = {}
+        self.ids: list[Id] = []
         self.build: list[int] = []
         self.zone: list[str] = []
         self.cell: list[int] = []
@@ -39,6 +40,7 @@
         self.rank: list[int] = []
         self.ready: list[int] = []
         self.sizes: list[float] = []
+        self.sums: list[float] = []
         self.near: dict[int, list[int]] = {}
 
     def update(self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float) -> None:
@@ -60,11 +62,12 @@
                     self.state[i] = GONE
         self.ready = [i for i, state in enumerate(self.state) if state == READY]
         self.sizes = [self.size[i] for i in self.ready]
+        self.sums = list(accumulate(self.sizes))
         self.near = {build: [] for build in sorted({self.build[i] for i in self.ready})}
         for i in sorted(self.ready, key=self.rank.__getitem__):
             self.near[self.build[i]].append(i)
 
-    def _add(self, instance: int) -> int:
+    def _add(self, instance: Id) -> int:
         i = self.index[instance] = len(self.ids)
         self.rank.append(crc32(f"{self.number}/{instance}".encode()))
         self.ids.append(instance)
--- a/linenbridge/state/rpcs.py
+++ b/linenbridge/state/rpcs.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from linenbridge.interface import NEVER_RAN
+from linenbridge.interface import NEVER_RAN, Id
 
 
 @dataclass(slots=True)
@@ -31,7 +31,7 @@
     deadline: int
     cost: float
     utility: float
-    key: int | None
+    key: Id | None
     picks: list[Pick] = field(default_factory=list)
     streaming: bool = False
     ended: bool = False
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -10,67 +10,13 @@
 
 from linenbridge import interface as face
 from linenbridge.choice import Choice
+from linenbridge.startup import LOADS, LONG_AGO, micros, startup
 from linenbridge.wirehost import messages as wire
 
 OUTCOMES = {
     "S": face.OK, "E": face.ERROR, "F": face.FULL, "T": face.TIMED_OUT,
     "C": face.UNREACHED, "R": face.BROKEN, "X": face.CANCELLED, "N": face.UNSENT,
 }  # fmt: skip
-EFFECTS = {"repeatable": face.IDEMPOTENT, "by_key": face.TOKENED, "once": face.NON_IDEMPOTENT}
-LOADS = {"rif": "in_flight", "q": "waiting", "busy": "busy", "lat_ms": "service_ms"}
-
-
-def micros(seconds: float) -> int:
-    return round(seconds * 1e6)
-
-
-def startup(info: wire.Info) -> face.Startup:
-    """The settings in the module's own words."""
-    plan, allow, rules = info.family_info, info.permissions, info.rules
-    return face.Startup(
-        methods=tuple(
-            face.Method(
-                name=row.name,
-                effect=EFFECTS[row.idempotency],
-                group=row.group,
-                token_window=micros(row.window),
-                soft_deadline=micros(row.aim),
-                utility=row.worth,
-            )
-            for row in info.profiles
-        ),
-        tenant_shares={tenant.name: tenant.share for tenant in info.tenants},
-        plan=face.RolloutPlan(
-            by_timer=plan.gate_mode == "timer",
-            in_place=plan.style == "in_place",
-            shares=tuple(plan.shares),
-            caps=tuple(plan.caps),
-            closed_stages=plan.closed_stages,
-            per_method=plan.per == "class",
-            spare_picks=plan.spare_tries,
-            forward_only=plan.forward_only,
-            vote_stands=micros(plan.vote_stands),
-            back_votes=plan.back_votes,
-            tally_period=micros(plan.metrics_period),
-        ),
-        allowances=face.Allowances(
-            max_picks=allow.max_attempts,
-            second_copies=allow.second_copies,
-            may_cancel=allow.may_cancel,
-            retry_after_most=micros(allow.max_retry_after) if allow.retry_after else 0,
-            asks_for_list=info.discovery == "ask",
-            cold_from=rules.cold_from,
-            cold=micros(rules.cold),
-            fall_multiple=rules.fall_multiple,
-            by_work=info.value_by == "work",
-            over_share_utility=info.over_share_worth,
-            number=info.slot_no,
-            gateways=info.balancers,
-            may_tell=allow.may_tell,
-            idle_close=micros(allow.idle_close),
-        ),
-    )
-
 
 class Host:
     """The gateways of one process; nothing is shared between them but the numbered lists."""
@@ -201,7 +147,7 @@
 
 
 def entry(row: wire.Row) -> face.ListEntry:
-    started = micros(row.since) if row.since else -(10**12)
+    started = micros(row.since) if row.since else LONG_AGO
     return face.ListEntry(
         row.instance, row.edition, row.rack_zone, row.block, row.health, row.power_hint, started
     )
--- a/linenbridge/wirehost/messages.py
+++ b/linenbridge/wirehost/messages.py
@@ -6,65 +6,7 @@
 
 from msgspec import Struct
 
-
-class Info(Struct):
-    """The settings; nested tables are read by `startup`."""
-
-    discovery: Literal["push", "ask"]
-    profiles: list[Profile]
-    family_info: Family
-    permissions: Permissions
-    rules: Rules
-    tenants: list[Tenant] = []
-    value_by: str = "request"
-    over_share_worth: float = 1.0
-    slot_no: int = 0
-    balancers: int = 1
-
-
-class Profile(Struct):
-    name: str
-    aim: float
-    give_up: float
-    worth: float
-    idempotency: Literal["repeatable", "by_key", "once"]
-    group: Literal["all", "zone", "cell"] = "all"
-    window: float = 0.0
-
-
-class Tenant(Struct):
-    name: str
-    share: float
-
-
-class Family(Struct):
-    gate_mode: Literal["any", "share", "timer"]
-    style: Literal["beside", "in_place"]
-    shares: list[float]
-    caps: list[float]
-    closed_stages: int
-    per: Literal["all", "class"]
-    spare_tries: float
-    forward_only: bool
-    vote_stands: float
-    back_votes: int = 1
-    metrics_period: float = 0.0
-
-
-class Permissions(Struct):
-    max_attempts: int
-    second_copies: bool
-    may_cancel: bool
-    retry_after: bool
-    max_retry_after: float
-    may_tell: bool = False
-    idle_close: float = 15.0
-
-
-class Rules(Struct):
-    cold_from: float
-    cold: float
-    fall_multiple: float
+from linenbridge.startup import Info
 
 
 class Row(Struct):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -12,11 +12,12 @@
     "profiles": [{"name": "look", "aim": 1.0, "give_up": 4.0, "worth": 1.0, "idempotency": "repeatable"}],
     "family_info": {
         "gate_mode": "share", "style": "beside", "shares": [0.1, 1.0], "caps": [0.12, 1.0], "per": "all",
-        "closed_stages": 0, "spare_tries": 2.0, "forward_only": False, "vote_stands": 6.0, "a_new_key": 1,
+        "closed_stages": 0, "spare_tries": 2.0, "forward_only": False, "vote_stands": 6.0, "answer_wait": 1.0,
+        "a_new_key": 1,
     },
     "permissions": {
         "max_attempts": 3, "second_copies": True, "may_cancel": True, "retry_after": True,
-        "max_retry_after": 1.0,
+        "max_retry_after": 1.0, "idle_close": 15.0, "connect_timeout": 0.2,
     },
     "rules": {"cold_from": 0.3, "cold": 4.0, "fall_multiple": 2.0},
 }  # fmt: skip
