Compile what every RPC passes through with mypyc; accept no more clients than can be answered

Generators with side effects inside next() and islice() became loops, as mypyc would run them to their end.

--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -29,6 +29,7 @@
 from linenbridge.net.platform import News, Platform
 from linenbridge.startup import Info, micros, startup
 
+YOUNG = 20_000  # objects before the collector looks: an RPC leaves no cycles, so it finds next to nothing
 TOLD = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
 # The listener, both streams with their second connections, and two votes.
 BESIDE_INSTANCES = 7
@@ -138,6 +139,7 @@
     # What the start has left never goes: keep the collector from walking over it while RPCs wait.
     gc.collect()
     gc.freeze()
+    gc.set_threshold(YOUNG)
     reactor.run(installSignalHandlers=False)
     counters()
     log.event("stopped")
--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -10,7 +10,6 @@
 
 from collections import deque
 from collections.abc import Iterator
-from itertools import islice
 from math import ceil, exp, inf, log, sqrt
 from random import Random
 
@@ -67,15 +66,14 @@
         self.row = {method.name: m for m, method in enumerate(start.methods)}
         self.random = Random(seed)
         self.fleet = Fleet(self.allow.number)
-        self.rpcs, self.waiting = OpenRpcs(), []
+        self.rpcs, self.waiting = OpenRpcs(), list[Rpc]()
         self.notes: deque[str] = deque()
         self.passing: Iterator[tuple] | None = None
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.sweep_at, self.watch_wait = now, LIST_RETRY
         self.work, self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, 0.0, now
-        self.lately = DecayingRate(LATELY)
         self.near: dict[int, list[int]] = {}
-        self.tenants = Parts(TENANT_MEMORY)
+        self.lately, self.tenants = DecayingRate(LATELY), Parts(TENANT_MEMORY)
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.shed, self.streak, self.utilities = 0.0, 0, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
@@ -83,10 +81,10 @@
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
         self.taken = [0] * (len(self.methods) + 1)
         self.buckets: dict[tuple[int, int], CapBucket] = {}
-        self.moved: dict[Id, int] = {}
+        self.moved: dict[Id | None, int] = {}
         # Evidence: records by (build, row), sums by (row, bit) at the newest build, and this gateway's vote.
         self.records: dict[tuple[int, int], BuildRecord] = {}
-        self.judged, self.outcomes, self.withdrawn = -1, 0, set()
+        self.judged, self.outcomes, self.withdrawn = -1, 0, set[int]()
         self.sums: dict[tuple[int, str], float] = {}
         self.parts: dict[tuple[int, str], dict[int, float]] = {}
         self.alarms: set[tuple[int, str]] = set()
@@ -168,7 +166,6 @@
                 self.cast = (-1, -1, NO_VOTE)
         if not valid or build < self.build:
             return
-        self.vote_wait = VOTE_RETRY
         if self.build >= 0 and (build, stage, phase) != (self.build, self.stage, self.phase):
             self.notes.append(f"build {build} stage {stage} phase {phase} cap {cap:g}")
         self.build, self.stage, self.phase, self.cap = build, stage, phase, cap
@@ -177,7 +174,7 @@
         for (b, row), bucket in self.buckets.items():
             bucket.settle(self.taken[row])
             bucket.share = self._share(b)
-        self.moot = (-1, -1)
+        self.moot, self.vote_wait = (-1, -1), VOTE_RETRY
         self._judge(build)
 
     def on_tally(
@@ -311,7 +308,7 @@
 
     def wake_at(self) -> int | None:
         """The next deadline or sweep: often while something is open, never when no vote is to be cast."""
-        times = [self.rpcs.due[0][0]] if self.rpcs.due else []
+        times = [] if (due := self.rpcs.next_due()) is None else [due]
         settled = self.build == self.judged and self.phase != ON_TRIAL and self.cast[2] == NO_VOTE
         if self.rpcs or self.watch_at is not None or not settled:
             times.append(self.sweep_at)
@@ -350,17 +347,17 @@
         self.waiting = []
         crowded: set[int] = set()
         for rpc in queue:
-            fresh, late = not rpc.picks, now + self.took[rpc.method] > rpc.soft_deadline
-            if fresh and not late and rpc.arrived < now and rpc.method in crowded:
+            fresh, new = not rpc.picks, rpc.arrived == now
+            late = now + self.took[rpc.method] > rpc.soft_deadline
+            if fresh and not late and not new and rpc.method in crowded:
                 self.waiting.append(rpc)
                 continue
             full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
             spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
-            spent = spent or (rpc.arrived == now and self._sheds(now, rpc.utility))
-            if spent or not self._may_pick(now, rpc):
+            if spent or (new and self._sheds(now, rpc.utility)) or not self._may_pick(now, rpc):
                 yield self._final(rpc)
                 continue
-            self.work_taken += rpc.cost * (rpc.arrived == now)
+            self.work_taken += rpc.cost * new
             i = None if fresh and rpc.method in crowded else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
@@ -373,10 +370,11 @@
 
     def _sheds(self, now: int, utility: float) -> bool:
         """Overload seen by a gateway too small for limits to bind: RPCs go by chance, low utility first."""
+        if not self._few(now):
+            return False
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
-        part = min(SHED_MOST, (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1.5 - rank))
-        return self._few(now) and self.random.random() < part
+        return self.random.random() < min(SHED_MOST, (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1.5 - rank))
 
     def _weigh_shed(self, late: bool) -> None:
         """Timely answers in a row count ever more, so that it ends soon after the load does."""
@@ -442,14 +440,12 @@
             return True
         if cap[0] <= 0.0 or (cap[1] < self.plan.closed_stages and self.methods[m].effect != IDEMPOTENT):
             return False
-        return self._bucket(build, m).tokens >= 1.0
+        return (bucket := self._bucket(build, m)) is None or bucket.tokens >= 1.0
 
     def _warmth(self, i: int, now: int) -> float:
         """The least share of its capacity that an instance has at that time."""
         age, cold = now - self.fleet.started[i], self.allow.cold
-        if age >= cold:
-            return 1.0
-        return self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
+        return 1.0 if age >= cold else self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
 
     def _cold_room(self, now: int, i: int) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
@@ -479,8 +475,10 @@
         wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
         builds.sort(key=lambda b: b == self.judged if rpc.picks else (b == wanted) == full)
         sound = any(self._sound(i, now) for b in builds for i in self.near[b])
-        chosen = (self._nearest(now, rpc, build, sound) for build in builds)
-        return next((i for i in chosen if i is not None), None)
+        for build in builds:
+            if (i := self._nearest(now, rpc, build, sound)) is not None:
+                return i
+        return None
 
     def _nearest(self, now: int, rpc: Rpc, build: int, sound: bool) -> int | None:
         """Two random choices, by size, on what is in flight, among the first of the build in this gateway's
@@ -488,13 +486,14 @@
         fleet, tried = self.fleet, {pick.instance for pick in rpc.picks}
         uses = self.lately.per_second(now) * self.allow.idle_close / SECOND / REACH_USES
         reach = ceil(max(REACH_LEAST, uses * len(self.near[build]) / len(fleet.ready)))
-        shun, failing, warm = fleet.shun_until, fleet.failing, now - self.allow.cold
-        room = list(islice((  # The plainest grounds first: this is asked of many instances for every RPC.
-            i for i in self.near[build]
-            if (shun[i] <= now and failing[i] < FAIL_MOST or not sound or self._sound(i, now))
-            and self._has_room(i, rpc) and (not rpc.picks or self._in_group(rpc, i))
-            and (fleet.started[i] <= warm or self._cold_room(now, i))
-        ), reach))  # fmt: skip
+        shun, failing, warm, room = fleet.shun_until, fleet.failing, now - self.allow.cold, list[int]()
+        for i in self.near[build]:  # The plainest grounds first: this is asked of many for every RPC.
+            sound_here = (shun[i] <= now and failing[i] < FAIL_MOST) or not sound or self._sound(i, now)
+            if sound_here and self._has_room(i, rpc) and (not rpc.picks or self._in_group(rpc, i)):
+                if fleet.started[i] <= warm or self._cold_room(now, i):
+                    room.append(i)
+                if len(room) >= reach:
+                    break
         if not (room := [i for i in room if i not in tried] or room):
             return None
         first, second = self.random.choices(room, [fleet.size[i] for i in room], k=2)
@@ -558,8 +557,9 @@
         """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
         that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter."""
         fleet, doubted = self.fleet, set()
-        for i in (i for i, out in enumerate(fleet.out) if out and now >= fleet.shun_until[i]):
-            if fleet.silence(i, now) > SUSPECT * max(fleet.gap[i], SWEEP):
+        for i, out in enumerate(fleet.out):
+            beyond = SUSPECT * max(fleet.gap[i], SWEEP)
+            if out and now >= fleet.shun_until[i] and fleet.silence(i, now) > beyond:
                 self._strike(now, i)
                 doubted.add(i)
         for rpc in list(self.rpcs.values()) if doubted else ():
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -35,7 +35,7 @@
         self.taken: Taken | None = None
 
     def answer(self, words: Words) -> None:
-        self.words = words
+        self.words, self.taken = words, None
         self.client.flush()
 
 
@@ -47,6 +47,7 @@
         self.reader = resp.Reader(commands=True)
         self.owed: deque[Owed] = deque()
         self.leaving = False
+        self.last = 0
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -59,6 +60,7 @@
             for words in self.reader.feed(data):
                 owed = Owed(self)
                 self.owed.append(owed)
+                self.last = self.clients.loop.now()
                 try:
                     self.clients.command(owed, words)
                 except UnfitError as error:
@@ -89,7 +91,8 @@
         """The one place where a client's connection and all that was owed on it are given back."""
         for owed in self.owed:
             if owed.taken is not None:
-                self.clients.loop.gone(owed.taken)
+                taken, owed.taken = owed.taken, None
+                self.clients.loop.gone(taken)
         self.owed.clear()
         self.clients.closed(self)
 
@@ -100,7 +103,8 @@
     def __init__(
         self, loop: Loop, methods: dict[str, face.Method], descriptors: Descriptors, log: Log
     ) -> None:
-        self.loop, self.methods, self.descriptors, self.log = loop, methods, descriptors, log
+        self.loop, self.descriptors, self.log = loop, descriptors, log
+        self.methods = {name.encode(): method for name, method in methods.items()}
         self.open: set[Client] = set()
         self.port: Any = None
         self.stopped: Callable[[], None] | None = None
@@ -112,12 +116,20 @@
         if not self.descriptors.take():
             self.log.count("client.turned_away")
             return None
+        if self.descriptors.left() <= self.port.numberAccepts:
+            # What is accepted must be answered: no more are, until one has closed. One that waits may go.
+            self.port.stopReading()
+            idle = [client for client in self.open if not client.owed]
+            if idle:
+                min(idle, key=lambda client: client.last).leave()
         self.log.count("client.connected")
         return Client(self)
 
     def closed(self, client: Client) -> None:
         self.open.discard(client)
         self.descriptors.give_back()
+        if self.port is not None and self.descriptors.left() > self.port.numberAccepts:
+            self.port.startReading()
         self._last()
 
     def command(self, owed: Owed, words: list[memoryview]) -> None:
@@ -133,12 +145,12 @@
             raise UnfitError("a command holds a key, an id, fields and at most one body")
         # Copied, as they outlive the buffer: further picks need them.
         key, rpc, fields = bytes(words[1]), bytes(words[2]).decode("latin-1"), bytes(words[3]).split(b",")
-        named = {}
-        for field in fields:
-            field_name, _, value = field.partition(b"=")
-            named[field_name] = value
-        wait, work, tenant = named.pop(b"d", b""), named.get(b"h", b""), named.get(b"t", b"")
-        method = self.methods.get(named.get(b"c", b"").decode("latin-1"))
+        try:
+            named = dict([field.split(b"=", 1) for field in fields])
+        except ValueError:
+            raise UnfitError("the fields are no names and values") from None
+        wait, work, tenant = named.get(b"d", b""), named.get(b"h", b""), named.get(b"t", b"")
+        method = self.methods.get(named.get(b"c"))
         if method is None:
             raise UnfitError("no such method" if b"c" in named else "the field c is missing")
         if again != (method.effect == face.IDEMPOTENT):
@@ -147,7 +159,7 @@
             raise UnfitError("the field d is missing or no number")
         if rpc in self.loop.open or not rpc:
             raise UnfitError("this id is in use" if rpc else "the id is empty")
-        passed = b"".join([field + b"," for field in fields if not field.startswith(b"d=")])
+        passed = b"".join([field + b"," for field in fields if field[:2] != b"d="])
         head = (b"SVC.QUERY" if again else b"SVC.SUBMIT", key, rpc.encode("latin-1"))
         owed.taken = Taken(rpc, method.name, (*head, *map(bytes, words[4:])), passed, owed.answer)
         hint = int(work) if work.isdigit() and len(work) <= resp.DIGITS_MOST else None
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -35,6 +35,9 @@
         self.open += 1
         return True
 
+    def left(self) -> int:
+        return self.most - self.open
+
     def give_back(self) -> None:
         self.open -= 1
 
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -104,7 +104,8 @@
 
     def _woken(self) -> None:
         self.wake = None
-        self.turn()
+        if self.next_turn is None:
+            self.turn()
 
     def _decision(self, now: int) -> tuple | None:
         """A decision that failed ends the turn's pulling, not the process."""
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -15,7 +15,10 @@
     time: int = 0
 
     def plus(self, other: Counts, times: int = 1) -> Counts:
-        return Counts(*(a + times * b for a, b in zip(self, other, strict=True)))
+        return Counts(
+            self.picks + times * other.picks, self.failed + times * other.failed,
+            self.served + times * other.served, self.time + times * other.time,
+        )  # fmt: skip
 
 
 class CapBucket:
@@ -51,12 +54,16 @@
     """What part of the arrivals of late each name had."""
 
     def __init__(self, memory: int) -> None:
-        self.memory, self.rates = memory, {}
+        self.all = DecayingRate(memory)
+        self.rates: dict[str, DecayingRate] = {}
 
     def part(self, now: int, name: str) -> float:
         """Count one arrival of that name; its part among all, itself included."""
-        self.rates.setdefault(name, DecayingRate(self.memory)).add(now, 1.0)
-        return self.rates[name].amount / sum(rate.at_present(now) for rate in self.rates.values())
+        if name not in self.rates:
+            self.rates[name] = DecayingRate(self.all.memory)
+        for rate in (self.all, self.rates[name]):
+            rate.add(now, 1.0)
+        return self.rates[name].amount / self.all.amount
 
 
 class BuildRecord:
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -71,13 +71,14 @@
         i = self.index[instance] = len(self.ids)
         self.rank.append(crc32(f"{self.number}/{instance}".encode()))
         self.ids.append(instance)
-        for array, empty in (
+        arrays: list[tuple[list, object]] = [
             (self.build, 0), (self.zone, ""), (self.cell, 0), (self.state, GONE), (self.size, 1.0),
             (self.started, 0), (self.out, 0), (self.busy_since, 0), (self.last_reply, 0), (self.gap, 0.0),
             (self.failing, 0.0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
             (self.shun_until, 0), (self.others, 0.0), (self.reported_at, 0), (self.cold_tokens, 0.0),
             (self.cold_mark, -1.0),
-        ):  # fmt: skip
+        ]  # fmt: skip
+        for array, empty in arrays:
             array.append(empty)
         return i
 
--- a/linenbridge/state/rpcs.py
+++ b/linenbridge/state/rpcs.py
@@ -61,6 +61,12 @@
         if not rpc.out():
             self.pop(rpc.id, None)
 
+    def next_due(self) -> int | None:
+        """When the first that is still open must have had its answer."""
+        while self.due and ((rpc := self.get(self.due[0][1])) is None or rpc.ended):
+            heapq.heappop(self.due)
+        return self.due[0][0] if self.due else None
+
     def overdue(self, now: int) -> Iterator[Rpc]:
         while self.due and self.due[0][0] <= now:
             rpc = self.get(heapq.heappop(self.due)[1])
