--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -125,7 +125,7 @@
     globalLogBeginner.beginLoggingTo([partial(unhandled, log)], redirectStandardIO=False, discardBuffer=True)
     clients, loop = build(at, log, reactor)
     clients.listen(reactor, *host_port(at.listen))
-    log.event("started", name=at.name, listen=at.listen)
+    log.event("started", gateway=at.name, listen=at.listen)
 
     def stop(*_: object) -> None:
         log.event("stopping", open=loop.unanswered)
