--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -23,7 +23,7 @@
 from linenbridge.net.clients import Clients
 from linenbridge.net.discovery import Discovery, Listing, host_port
 from linenbridge.net.follow import Follow
-from linenbridge.net.instances import Instances
+from linenbridge.net.instances import Descriptors, Instances
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
 from linenbridge.net.platform import News, Platform
@@ -84,15 +84,18 @@
     return time.monotonic_ns() // 1000
 
 
-def build(at: Station, log: Log, reactor: Any) -> tuple[Clients, Loop]:
+def build(at: Station, log: Log, reactor: Any) -> tuple[Clients, Instances, Loop]:
     """The parts of one gateway; the module has heard the list and the news before anyone can ask."""
     settings, start = at.settings, startup(at.settings)
     methods = {method.name: method for method in start.methods}
     connect_wait = micros(settings.permissions.connect_timeout)
     answer_wait = micros(settings.family_info.answer_wait)
+    # Half for clients, half for instances: an RPC that is out holds one of each.
     most = at.limits.sockets - len(os.listdir("/proc/self/fd")) - BESIDE_INSTANCES
     loop = Loop(Choice(start, int(at.seed, 16), now()), reactor, now, log)
-    instances = Instances(loop, reactor, most, connect_wait, micros(settings.permissions.idle_close), log)
+    instances = Instances(
+        loop, reactor, most - most // 2, connect_wait, micros(settings.permissions.idle_close), log
+    )
     line_most = int(at.limits.memory_mb * (1 << 20)) // 16  # a list beyond this would not be held anyway
     follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
     unix_offset = now() - time.time_ns() // 1000
@@ -112,7 +115,7 @@
     loop.turn()
     discovery.start()
     platform.start()
-    return Clients(loop, methods, instances.descriptors, log), loop
+    return Clients(loop, methods, Descriptors(most // 2), log), instances, loop
 
 
 def main() -> int:
@@ -123,7 +126,7 @@
         return 2
     log = Log(sys.stderr.buffer)
     globalLogBeginner.beginLoggingTo([partial(unhandled, log)], redirectStandardIO=False, discardBuffer=True)
-    clients, loop = build(at, log, reactor)
+    clients, instances, loop = build(at, log, reactor)
     clients.listen(reactor, *host_port(at.listen))
     log.event("started", gateway=at.name, listen=at.listen)
 
@@ -132,7 +135,7 @@
         clients.stop(reactor, reactor.stop)
 
     def counters(*_: object) -> None:
-        log.counters(open=loop.unanswered, descriptors=clients.descriptors.open)
+        log.counters(open=loop.unanswered, clients=clients.descriptors.open, lines=instances.descriptors.open)
 
     for number, handler in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGUSR1, counters)):
         signal.signal(number, lambda *_, handler=handler: reactor.callFromThread(handler))
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -78,10 +78,13 @@
         """Answers go out in the order of the commands, each once all before it have gone."""
         while self.owed and self.owed[0].words is not None:
             write_out(self.transport, b"".join(self.owed.popleft().words))
-        if self.leaving and not self.owed:
+        if (self.leaving or self.clients.paused) and not self.owed:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def idle(self) -> bool:
+        return not self.owed and not self.leaving
+
     def leave(self) -> None:
         """Close as soon as nothing is owed."""
         self.leaving = True
@@ -107,6 +110,7 @@
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.open: set[Client] = set()
         self.port: Any = None
+        self.paused = False
         self.stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
@@ -116,20 +120,30 @@
         if not self.descriptors.take():
             self.log.count("client.turned_away")
             return None
-        if self.descriptors.left() <= self.port.numberAccepts:
-            # What is accepted must be answered: no more are, until one has closed. One that waits may go.
-            self.port.stopReading()
-            idle = [client for client in self.open if not client.owed]
-            if idle:
-                min(idle, key=lambda client: client.last).leave()
         self.log.count("client.connected")
+        if self.descriptors.left() <= self.port.numberAccepts:
+            self._make_room()
         return Client(self)
 
+    def _make_room(self) -> None:
+        """What is accepted is owed an answer, and a whole batch may come at once. Idle connections go, the
+        oldest first; only where none is idle do new ones wait in the system's queue, where time runs on."""
+        idle = sorted((client for client in self.open if client.idle()), key=lambda client: client.last)
+        for client in idle[: max(self.port.numberAccepts, len(idle) // 2)]:
+            self.log.count("client.spared")
+            client.leave()
+        if not idle and not self.paused:
+            self.paused = True
+            self.port.stopReading()
+            self.log.event("accept.paused", clients=len(self.open))
+
     def closed(self, client: Client) -> None:
         self.open.discard(client)
         self.descriptors.give_back()
-        if self.port is not None and self.descriptors.left() > self.port.numberAccepts:
+        if self.paused and self.port is not None and self.descriptors.left() > self.port.numberAccepts:
+            self.paused = False
             self.port.startReading()
+            self.log.event("accept.resumed", clients=len(self.open))
         self._last()
 
     def command(self, owed: Owed, words: list[memoryview]) -> None:
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -26,7 +26,7 @@
 class Descriptors:
     """How many sockets may be open; when none is left, `spare` is asked to close one."""
 
-    def __init__(self, most: int, spare: Callable[[], bool]) -> None:
+    def __init__(self, most: int, spare: Callable[[], bool] = lambda: False) -> None:
         self.most, self.spare, self.open = most, spare, 0
 
     def take(self) -> bool:
