--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -90,11 +90,11 @@
     methods = {method.name: method for method in start.methods}
     connect_wait = micros(settings.permissions.connect_timeout)
     answer_wait = micros(settings.family_info.answer_wait)
-    # Half for clients, half for instances: an RPC that is out holds one of each.
+    # An RPC that is out holds one of each; clients keep more of theirs open than they use.
     most = at.limits.sockets - len(os.listdir("/proc/self/fd")) - BESIDE_INSTANCES
     loop = Loop(Choice(start, int(at.seed, 16), now()), reactor, now, log)
     instances = Instances(
-        loop, reactor, most - most // 2, connect_wait, micros(settings.permissions.idle_close), log
+        loop, reactor, most // 3, connect_wait, micros(settings.permissions.idle_close), log
     )
     line_most = int(at.limits.memory_mb * (1 << 20)) // 16  # a list beyond this would not be held anyway
     follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
@@ -115,7 +115,7 @@
     loop.turn()
     discovery.start()
     platform.start()
-    return Clients(loop, methods, Descriptors(most // 2), log), instances, loop
+    return Clients(loop, methods, Descriptors(most - most // 3), log), instances, loop
 
 
 def main() -> int:
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -82,9 +82,6 @@
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
-    def idle(self) -> bool:
-        return not self.owed and not self.leaving
-
     def leave(self) -> None:
         """Close as soon as nothing is owed."""
         self.leaving = True
@@ -110,7 +107,7 @@
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.open: set[Client] = set()
         self.port: Any = None
-        self.paused = False
+        self.paused, self.going = False, 0
         self.stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
@@ -121,16 +118,17 @@
             self.log.count("client.turned_away")
             return None
         self.log.count("client.connected")
-        if self.descriptors.left() <= self.port.numberAccepts:
+        if self.descriptors.left() + self.going <= self.port.numberAccepts:
             self._make_room()
         return Client(self)
 
     def _make_room(self) -> None:
         """What is accepted is owed an answer, and a whole batch may come at once. Idle connections go, the
         oldest first; only where none is idle do new ones wait in the system's queue, where time runs on."""
-        idle = sorted((client for client in self.open if client.idle()), key=lambda client: client.last)
-        for client in idle[: max(self.port.numberAccepts, len(idle) // 2)]:
+        idle = [client for client in self.open if not client.owed and not client.leaving]
+        for client in sorted(idle, key=lambda client: client.last)[: self.port.numberAccepts]:
             self.log.count("client.spared")
+            self.going += 1
             client.leave()
         if not idle and not self.paused:
             self.paused = True
@@ -140,6 +138,7 @@
     def closed(self, client: Client) -> None:
         self.open.discard(client)
         self.descriptors.give_back()
+        self.going -= client.leaving and self.going > 0
         if self.paused and self.port is not None and self.descriptors.left() > self.port.numberAccepts:
             self.paused = False
             self.port.startReading()
