--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -19,6 +19,7 @@
 from linenbridge.net.loop import Loop, Taken, Words, write_out
 
 LAST_CONNECTIONS = 0.4 + 0.05  # PROTOCOL, Figures and rules: how long after SIGTERM new ones come, in s
+BATCH_STEP = 20  # Twisted's Port, doRead: after a full batch it accepts so many more in the next
 COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether they take methods that may run again
 
 
@@ -118,7 +119,7 @@
             self.log.count("client.turned_away")
             return None
         self.log.count("client.connected")
-        if self.descriptors.left() + self.going <= self.port.numberAccepts:
+        if not self.paused and self.descriptors.left() + self.going <= self._batch():
             self._make_room()
         return Client(self)
 
@@ -126,20 +127,24 @@
         """What is accepted is owed an answer, and a whole batch may come at once. Idle connections go, the
         oldest first; only where none is idle do new ones wait in the system's queue, where time runs on."""
         idle = [client for client in self.open if not client.owed and not client.leaving]
-        for client in sorted(idle, key=lambda client: client.last)[: self.port.numberAccepts]:
+        for client in sorted(idle, key=lambda client: client.last)[: self._batch()]:
             self.log.count("client.spared")
             self.going += 1
             client.leave()
-        if not idle and not self.paused:
+        if self.descriptors.left() + self.going <= self._batch():
             self.paused = True
             self.port.stopReading()
             self.log.event("accept.paused", clients=len(self.open))
+        self.port.numberAccepts = 1
+
+    def _batch(self) -> int:
+        return self.port.numberAccepts + BATCH_STEP
 
     def closed(self, client: Client) -> None:
         self.open.discard(client)
         self.descriptors.give_back()
         self.going -= client.leaving and self.going > 0
-        if self.paused and self.port is not None and self.descriptors.left() > self.port.numberAccepts:
+        if self.paused and self.port is not None and self.descriptors.left() > self._batch():
             self.paused = False
             self.port.startReading()
             self.log.event("accept.resumed", clients=len(self.open))
