--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -16,7 +16,7 @@
 
 import msgspec
 from msgspec import Struct
-from twisted.internet import reactor
+from twisted.internet.main import installReactor
 from twisted.logger import globalLogBeginner
 
 from linenbridge.choice import Choice
@@ -27,6 +27,7 @@
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
 from linenbridge.net.platform import News, Platform
+from linenbridge.net.reactor import Reactor
 from linenbridge.startup import Info, micros, startup
 
 YOUNG = 20_000  # objects before the collector looks: an RPC leaves no cycles, so it finds next to nothing
@@ -126,7 +127,10 @@
         return 2
     log = Log(sys.stderr.buffer)
     globalLogBeginner.beginLoggingTo([partial(unhandled, log)], redirectStandardIO=False, discardBuffer=True)
+    reactor = Reactor()
+    installReactor(reactor)
     clients, instances, loop = build(at, log, reactor)
+    reactor.serve(loop)
     clients.listen(reactor, *host_port(at.listen))
     log.event("started", gateway=at.name, listen=at.listen)
 
--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -19,7 +19,7 @@
     Id, ListEntry, Startup,
 )  # fmt: skip
 from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts
-from linenbridge.state.fleet import Fleet
+from linenbridge.state.fleet import Fleet, draw, draw_two
 from linenbridge.state.peers import Heard, pack
 from linenbridge.state.rpcs import OpenRpcs, Pick, Rpc
 
@@ -471,7 +471,7 @@
         least = self.moved.get(rpc.key, 0) if self.plan.forward_only else 0
         if not (builds := [b for b in self.near if b >= least and self._exposed(b, rpc.method)]):
             return None
-        drawn = self.random.choices(self.fleet.ready, cum_weights=self.fleet.sums)[0]
+        drawn = draw(self.random, self.fleet.ready, self.fleet.sums)
         wanted, full = self.fleet.build[drawn], not self._cold_room(now, drawn)
         builds.sort(key=lambda b: b == self.judged if rpc.picks else (b == wanted) == full)
         sound = any(self._sound(i, now) for b in builds for i in self.near[b])
@@ -496,7 +496,7 @@
                     break
         if not (room := [i for i in room if i not in tried] or room):
             return None
-        first, second = self.random.choices(room, [fleet.size[i] for i in room], k=2)
+        first, second = draw_two(self.random, room, [fleet.size[i] for i in room])
         return first if self._crowding(first, now) <= self._crowding(second, now) else second
 
     def _sound(self, i: int, now: int) -> bool:
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -78,7 +78,7 @@
     def flush(self) -> None:
         """Answers go out in the order of the commands, each once all before it have gone."""
         while self.owed and self.owed[0].words is not None:
-            write_out(self.transport, b"".join(self.owed.popleft().words))
+            write_out(self.transport, b"".join(self.owed.popleft().words or ()))
         if (self.leaving or self.clients.paused) and not self.owed:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
@@ -150,7 +150,7 @@
             self.log.event("accept.resumed", clients=len(self.open))
         self._last()
 
-    def command(self, owed: Owed, words: list[memoryview]) -> None:
+    def command(self, owed: Owed, words: Any) -> None:
         """One command: an RPC goes to the loop, all else is answered here."""
         name = bytes(words[0]).upper() if words else b""
         again = COMMANDS.get(name)
@@ -168,7 +168,7 @@
         except ValueError:
             raise UnfitError("the fields are no names and values") from None
         wait, work, tenant = named.get(b"d", b""), named.get(b"h", b""), named.get(b"t", b"")
-        method = self.methods.get(named.get(b"c"))
+        method = self.methods.get(named.get(b"c", b""))
         if method is None:
             raise UnfitError("no such method" if b"c" in named else "the field c is missing")
         if again != (method.effect == face.IDEMPOTENT):
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -146,6 +146,8 @@
         """Write it to an idle connection, or as soon as one is idle or has come up."""
         place = self.places[instance]
         pick = self.picks[rpc.id, number] = Pick(rpc, number, place, now, now + time_out)
+        while self.due and self.due[0][2].ended:
+            heappop(self.due)
         heappush(self.due, (pick.until, next(self.serial), pick))
         if self.timer is None or pick.until < self.timer_at:
             self._arm(now)
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -63,13 +63,14 @@
         self.open: dict[str, Taken] = {}
         self.unanswered = 0
         self.next_turn: Any = None
+        self.polled = False  # The reactor runs the turn itself, after each round of reading.
         self.wake: Any = None
         self.wake_at = 0
 
     def gather(self, call: Callable[[int], None]) -> None:
         """Something came in: the next turn, after all that is ready has been read, tells the module."""
         self.gathered.append(call)
-        if self.next_turn is None:
+        if self.next_turn is None and not self.polled:
             self.next_turn = self.reactor.callLater(0, self._ready)
 
     def _ready(self) -> None:
@@ -104,7 +105,7 @@
 
     def _woken(self) -> None:
         self.wake = None
-        if self.next_turn is None:
+        if self.next_turn is None and not (self.polled and self.gathered):
             self.turn()
 
     def _decision(self, now: int) -> tuple | None:
--- /dev/null
+++ b/linenbridge/net/reactor.py
@@ -0,0 +1,53 @@
+"""Twisted's epoll reactor with a shorter way to the protocols.
+
+Owns the round of reading: what is ready is read without a logging context for each event, and the loop's
+turn runs right after the round, without a timer in between. It must never know what is read, nor treat
+anything but plain reads differently from Twisted.
+"""
+
+from __future__ import annotations
+
+import select
+from typing import Any
+
+from twisted.internet.epollreactor import EPollReactor
+from twisted.python import log
+
+from linenbridge.net.loop import Loop
+
+
+class Reactor(EPollReactor):
+    """Serves one loop."""
+
+    loop: Loop | None = None
+
+    def serve(self, loop: Loop) -> None:
+        self.loop, loop.polled = loop, True
+
+    def timeout(self) -> float | None:
+        """What timers have gathered does not wait for the next event."""
+        return 0 if self.loop is not None and self.loop.gathered else super().timeout()
+
+    def doPoll(self, timeout: float | None) -> None:
+        ready = self._poller.poll(-1 if timeout is None else timeout, len(self._selectables))
+        for fd, event in ready:
+            selectable = self._selectables.get(fd)
+            if selectable is None:
+                continue
+            if event == select.EPOLLIN:
+                self._read(selectable)
+            else:
+                log.callWithLogger(selectable, self._doReadOrWrite, selectable, fd, event)
+        if self.loop is not None and self.loop.gathered:
+            self.loop.turn()
+
+    doIteration = doPoll  # noqa: N815
+
+    def _read(self, selectable: Any) -> None:
+        try:
+            why = selectable.doRead()
+        except Exception as error:
+            why = error
+            log.err()
+        if why:
+            self._disconnectSelectable(selectable, why, True)
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -2,13 +2,26 @@
 
 from __future__ import annotations
 
+from bisect import bisect
 from collections.abc import Iterable
 from itertools import accumulate
+from random import Random
 from zlib import crc32
 
 from linenbridge.interface import GONE, READY, Id, ListEntry
 
 
+def draw(random: Random, items: list[int], sums: list[float]) -> int:
+    """One item by weight, given the running sums of the weights: `random.choices` less its checks."""
+    return items[bisect(sums, random.random() * sums[-1], 0, len(sums) - 1)]
+
+
+def draw_two(random: Random, items: list[int], weights: list[float]) -> tuple[int, int]:
+    """Two draws by weight; they may be the same item."""
+    sums = list(accumulate(weights))
+    return draw(random, items, sums), draw(random, items, sums)
+
+
 class Fleet:
     """Per-instance figures; an instance keeps its index for the life of the gateway. `near` lists the ready
     ones of a build in an order of this gateway's own, the same after a restart, whatever else is listed."""
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,531 @@
+"""The gateway on sockets that are none: Twisted's clock and transports in memory, driven step by step."""
+
+from __future__ import annotations
+
+import io
+import json
+from functools import partial
+from random import Random
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost, ConnectionRefusedError
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from linenbridge import __main__ as program
+from linenbridge import interface as face
+from linenbridge.net import resp
+from linenbridge.net.clients import LAST_CONNECTIONS, Client, Clients
+from linenbridge.net.discovery import Discovery
+from linenbridge.net.follow import Follow
+from linenbridge.net.instances import Descriptors, Instances, load_report
+from linenbridge.net.log import Log
+from linenbridge.net.loop import Loop
+from linenbridge.net.platform import Platform
+from tests.helpers import startup
+
+METHODS = {method.name: method for method in startup().methods}
+STAGE = {"version": 2, "step": 0, "status": "testing", "maxWeight": 0.2, "observedAgoMs": 5}
+
+
+class Wire(StringTransport):
+    """A transport in memory that can be written through, aborted and lost."""
+
+    dataBuffer, _tempDataBuffer = b"", ()  # noqa: N815
+
+    def writeSomeData(self, data: bytes) -> int:  # noqa: N802
+        self.write(data)
+        return len(data)
+
+    def setTcpNoDelay(self, on: bool) -> None: ...  # noqa: N802
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.lose()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        self.lose()
+
+    def lose(self, why: Exception | None = None) -> None:
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(Failure(why or ConnectionDone()))
+
+    def taken(self) -> bytes:
+        data = self.value()
+        self.clear()
+        return data
+
+
+class Scripted:
+    """A module that does as the test says and keeps what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple] = []
+        self.says: list[tuple] = []
+
+    def __getattr__(self, name: str):
+        return lambda now, *args, **named: self.told.append((name, *args, *named.values()))
+
+    def next_decision(self, now: int) -> tuple | None:
+        return self.says.pop(0) if self.says else None
+
+    def wake_at(self) -> None:
+        return None
+
+
+class Bench:
+    """One gateway's parts around a scripted module."""
+
+    def __init__(self, descriptors: int = 50) -> None:
+        self.reactor, self.module = MemoryReactorClock(), Scripted()
+        self.lines = io.BytesIO()
+        self.log = Log(self.lines)
+        self.now = lambda: int(self.reactor.seconds() * 1e6)
+        self.loop = Loop(self.module, self.reactor, self.now, self.log)
+        self.instances = Instances(self.loop, self.reactor, descriptors, 200_000, 8_000_000, self.log)
+        self.clients = Clients(self.loop, METHODS, Descriptors(descriptors), self.log)
+        follow = partial(
+            Follow,
+            reactor=self.reactor,
+            address=("10.0.0.9", 80),
+            connect_wait=200_000,
+            most=9999,
+            log=self.log,
+        )
+        self.discovery = Discovery(self.loop, self.instances, 1_000, True, self.log, follow)
+        self.platform = Platform(
+            self.loop, self.reactor, ("10.0.0.9", 80), METHODS, 200_000, 1_000_000, self.log, follow
+        )
+        self.loop.instances, self.loop.platform, self.loop.discovery = (
+            self.instances,
+            self.platform,
+            self.discovery,
+        )
+        self.clients.listen(self.reactor, "127.0.0.1", 6379)
+        self.clients.port.numberAccepts = 1
+        self.clients.port.stopReading = self.clients.port.startReading = lambda: None
+        self.dialled = 0
+
+    def turn(self, seconds: float = 0.0) -> None:
+        self.reactor.advance(seconds)
+        self.reactor.advance(0)
+        self.reactor.advance(0)
+
+    def client(self) -> Wire:
+        protocol = self.clients.buildProtocol(None)
+        wire = Wire()
+        wire.protocol = protocol
+        protocol.makeConnection(wire)
+        return wire
+
+    def send(
+        self, wire: Wire, rpc: str, method: str = "look", more: str = "t=a,r=1", name: bytes = b"SVC.QUERY"
+    ):
+        wire.protocol.dataReceived(
+            resp.command([name, b"key", rpc.encode(), f"c={method},{more},d=900".encode()])
+        )
+        self.turn()
+
+    def list(self, *rows: tuple, whole: bool = True) -> None:
+        ends = [
+            dict(name=name, address=f"10.0.0.{n}:6379", status=status, release=1, since_ms=since, zone="a")
+            for name, n, status, since in rows
+        ]
+        self.discovery.told(memoryview(json.dumps(dict(index=7, snapshot=whole, endpoints=ends)).encode()))
+        self.turn()
+
+    def say(self, *decisions: tuple) -> None:
+        self.module.says += decisions
+        self.loop.turn()
+
+    def dial(self) -> tuple:
+        """The next connection asked for: its factory."""
+        host, port, factory, _, _ = self.reactor.tcpClients[self.dialled]
+        self.dialled += 1
+        return factory
+
+    def up(self) -> Wire:
+        """The next connection asked for comes up."""
+        wire = Wire()
+        wire.protocol = self.dial().buildProtocol(None)
+        wire.protocol.makeConnection(wire)
+        self.turn()
+        return wire
+
+    def outcomes(self) -> list[tuple]:
+        return [told[1:4] for told in self.module.told if told[0] == "on_reply"]
+
+
+@pytest.fixture
+def bench() -> Bench:
+    bench = Bench()
+    bench.list(("s-1", 1, "active", 0))
+    return bench
+
+
+def test_a_pick_passes_the_command_on_and_its_answer_back_as_it_came(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    assert ("on_rpc", "id1", "look", 900_000, None, "a", "key") in bench.module.told
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    words = [b"SVC.QUERY", b"key", b"id1", b"c=look,t=a,r=1,d=500"]
+    assert line.taken() == resp.command(words)
+    line.protocol.dataReceived(b"*3\r\n$4\r\nv\r\n1\r\n$-1\r\n$16\r\nrif=7,lat_ms=2.5\r\n")
+    bench.turn()
+    assert client.taken() == b"$4\r\nv\r\n1\r\n"
+    reply = next(told for told in bench.module.told if told[0] == "on_reply")
+    assert reply[1:5] == ("id1", 0, face.OK, True) and reply[6] == {"in_flight": 7.0, "service_ms": 2.5}
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    assert line.taken().count(b"id2") == 1 and len(bench.reactor.tcpClients) == 1
+
+
+def test_answers_keep_the_order_of_the_commands(bench):
+    client = bench.client()
+    client.protocol.dataReceived(
+        resp.command([b"SVC.QUERY", b"k", b"a", b"c=look,d=9"])
+        + resp.command([b"PING"])
+        + resp.command([b"SVC.SUBMIT", b"k", b"b", b"c=charge,d=9", b"body"])
+    )
+    bench.turn()
+    bench.say((face.ABORT, "b"))
+    assert client.taken() == b""
+    bench.say((face.PUSH_BACK, "a", 1_500))
+    assert client.taken() == b"-BUSY 2\r\n+PONG\r\n-ERR aborted\r\n"
+    bench.say((face.ABORT, "a"))
+    assert client.taken() == b"" and not bench.loop.open
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        [b"GET", b"x"],
+        [b"SVC.QUERY", b"k", b"i"],
+        [b"SVC.QUERY", b"k", b"i", b"c=none,d=1"],
+        [b"SVC.QUERY", b"k", b"i", b"d=1"],
+        [b"SVC.QUERY", b"k", b"i", b"c=look"],
+        [b"SVC.QUERY", b"k", b"i", b"c=charge,d=1"],
+        [b"SVC.QUERY", b"k", b"", b"c=look,d=1"],
+        [b"SVC.QUERY", b"k", b"i", b"odd"],
+    ],
+)
+def test_an_unfit_command_gets_a_reason_and_the_connection_stays(bench, words):
+    client, before = bench.client(), len(bench.module.told)
+    client.protocol.dataReceived(resp.command(words) + resp.command([b"PING"]))
+    bench.turn()
+    answer = client.taken()
+    assert answer.startswith(b"-ERR ") and answer.endswith(b"\r\n+PONG\r\n") and client.connected
+    assert len(bench.module.told) == before
+
+
+def test_what_is_no_resp_ends_the_connection_after_the_answers_owed_on_it(bench):
+    client = bench.client()
+    client.protocol.dataReceived(
+        resp.command([b"SVC.QUERY", b"k", b"a", b"c=look,d=9"]) + b"GET / HTTP/1.1\r\n"
+    )
+    bench.turn()
+    assert client.connected
+    bench.say((face.PUSH_BACK, "a", 0))
+    assert client.taken().startswith(b"-BUSY\r\n-ERR ") and not client.connected
+
+
+@pytest.mark.parametrize(
+    "happens, outcome",
+    [
+        ("error", face.ERROR),
+        ("busy", face.FULL),
+        ("broken", face.BROKEN),
+        ("garbage", face.BROKEN),
+        ("refused", face.UNREACHED),
+        ("late", face.TIMED_OUT),
+        ("never up", face.UNREACHED),
+        ("drains", face.UNSENT),
+        ("moved", face.UNSENT),
+        ("cancelled", face.CANCELLED),
+    ],
+)
+def test_each_end_of_a_pick_is_told_once_as_the_protocol_has_it(bench, happens, outcome):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = None if happens in ("refused", "never up", "drains", "moved") else bench.up()
+    match happens:
+        case "error":
+            line.protocol.dataReceived(b"-ERR failed rif=3\r\n")
+        case "busy":
+            line.protocol.dataReceived(b"-BUSY\r\n")
+        case "broken":
+            line.lose(ConnectionLost())
+        case "garbage":
+            line.protocol.dataReceived(b"+OK\r\n")
+        case "refused":
+            bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        case "late" | "never up":
+            bench.turn(0.51)
+        case "drains":
+            bench.list(("s-1", 1, "leaving", 0), whole=False)
+        case "moved":
+            bench.list(("s-1", 3, "active", 5))
+        case "cancelled":
+            bench.say((face.CANCEL, "id1", 0))
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, outcome)] and client.taken() == b""
+    if outcome not in (face.ERROR, face.FULL) and line is not None:
+        assert not line.connected and bench.instances.descriptors.open == 0
+    bench.say((face.PUSH_BACK, "id1", 0))
+    if line is None and happens != "refused":  # It comes up after all: nothing is written to it.
+        late = bench.up()
+        assert late.taken() == b""
+    assert client.taken() == b"-BUSY\r\n" and not bench.loop.open and not bench.instances.picks
+
+
+def test_a_late_second_copy_is_told_but_not_sent_and_a_client_that_left_gets_nothing(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000), (face.PICK, "id1", "s-1", 500_000))
+    first, second = bench.up(), bench.up()
+    second.protocol.dataReceived(b"*1\r\n$1\r\n2\r\n")
+    first.protocol.dataReceived(b"*1\r\n$1\r\n1\r\n")
+    bench.turn()
+    assert client.taken() == b"$1\r\n2\r\n" and len(bench.outcomes()) == 2 and not bench.loop.open
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    client.lose()
+    bench.turn()
+    assert ("on_gone", "id2") in bench.module.told and bench.loop.unanswered == 0
+    bench.turn(0.6)
+    assert not bench.loop.open
+
+
+def test_idle_connections_close_well_before_the_far_side_does_and_when_the_list_changes(bench):
+    client = bench.client()
+    for rpc in ("id1", "id2"):
+        bench.send(client, rpc)
+        bench.say((face.PICK, rpc, "s-1", 500_000))
+        line = bench.up()
+        line.protocol.dataReceived(b"*1\r\n$1\r\n1\r\n")
+        bench.turn()
+        if rpc == "id1":
+            bench.turn(1.9)
+            assert line.connected
+            bench.turn(2.2)
+            assert not line.connected
+    bench.list(("s-1", 1, "active", 99))
+    assert not line.connected and bench.instances.descriptors.open == 0
+
+
+def test_idle_clients_make_room_and_nobody_accepted_is_turned_away():
+    bench = Bench(descriptors=24)
+    bench.list(("s-1", 1, "active", 0))
+    busy = bench.client()
+    bench.send(busy, "id1")
+    idle = [bench.client() for _ in range(2)]
+    assert not idle[0].connected and idle[1].connected and busy.connected
+    bench.client()
+    assert bench.clients.descriptors.open <= 4 and b"turned_away" not in bench.lines.getvalue()
+
+
+def test_the_list_is_kept_where_an_entry_cannot_be_read_and_starts_keep_their_figure(bench):
+    bench.discovery.told(memoryview(b"{nonsense"))
+    bad = {"index": 8, "snapshot": True, "endpoints": [{"name": "s-9"}]}
+    bench.discovery.told(memoryview(json.dumps(bad).encode()))
+    bench.list(("s-2", 2, "active", 12), whole=False)
+    bench.list(("s-2", 2, "active", 12), whole=False)
+    lists = [told for told in bench.module.told if told[0] == "on_list"]
+    assert [told[2] for told in lists] == [True, False, False, False]
+    assert [entry.started for told in lists[2:] for entry in told[1]] == [13_000, 13_000]
+    assert bench.log.counts["malformed.discovery",] == 2
+
+
+def test_a_silent_stream_is_read_beside_a_second_one_and_taken_up_after_its_end(bench):
+    bench.discovery.start()
+    first = bench.up()
+    assert first.taken().startswith(b"GET /catalog/members?follow=1&since=7 HTTP/1.1\r\n")
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    first.protocol.dataReceived(head + b"1\r\n\n\r\n")
+    bench.turn(5.9)
+    assert len(bench.reactor.tcpClients) == 1
+    bench.turn(0.2)
+    second = bench.up()
+    assert first.connected
+    second.protocol.dataReceived(head + b"1\r\n\n\r\n")
+    assert not first.connected and second.connected
+    second.lose()
+    bench.turn(0.3)
+    assert len(bench.reactor.tcpClients) == 3
+
+
+def test_news_of_the_feed_reach_the_module_in_its_units(bench):
+    bench.turn(3)
+    tally = dict(version=2, kind="look", requests=57, failures=2, avgMs=18.5, observedAgoMs=900)
+    lines = [
+        dict(type="stage", object=STAGE),
+        dict(type="tally", object=tally),
+        {},
+        dict(type="new", object={}),
+        dict(type="flag", object=dict(pod="s-1", kind="look", observedAgoMs=3)),
+        dict(type="flag", object=dict(pod="s-1", kind="nothing")),
+        dict(type="tally", object={}),
+    ]
+    for line in lines:
+        bench.platform.told(memoryview(json.dumps(line).encode()))
+    bench.turn()
+    assert ("on_stage", 2, 0, face.ON_TRIAL, 0.2, False, True, False) in bench.module.told
+    assert ("on_tally", 2, "look", 57, 2, 18_500, 2_100_000) in bench.module.told
+    assert [told for told in bench.module.told if told[0] == "on_flag"] == [("on_flag", "s-1", "look")]
+    assert bench.log.counts["malformed.feed",] == 1
+
+
+@pytest.mark.parametrize(
+    "happens, valid, moot",
+    [
+        ("200", True, False),
+        ("409", False, True),
+        ("429", False, False),
+        ("500", False, False),
+        ("garbage", False, False),
+        ("broken", False, False),
+        ("refused", False, False),
+        ("silent", False, False),
+    ],
+)
+def test_a_vote_is_sent_once_and_what_became_of_it_is_told_once(bench, happens, valid, moot):
+    bench.say((face.VOTE, 2, 0, face.BACK))
+    if happens == "refused":
+        bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    else:
+        call = bench.up()
+        head, body = call.taken().split(b"\r\n\r\n")
+        assert head.startswith(b"POST /api/ballots HTTP/1.1\r\n")
+        assert json.loads(body) == {"version": 2, "step": 0, "vote": "back"}
+    body = json.dumps(STAGE).encode()
+    match happens:
+        case "200" | "409" | "429" | "500":
+            call.protocol.dataReceived(
+                b"HTTP/1.1 %b X\r\nContent-Length: %d\r\n\r\n%b" % (happens.encode(), len(body), body)
+            )
+        case "garbage":
+            call.protocol.dataReceived(b"what?\r\n\r\n")
+        case "broken":
+            call.lose(ConnectionLost())
+        case "silent":
+            bench.turn(1.1)
+    bench.turn()
+    bench.turn(5)
+    votes = [told for told in bench.module.told if told[0] == "on_stage" and told[5]]
+    assert [told[6:] for told in votes] == [(valid, moot)] and len(bench.reactor.tcpClients) == 1
+
+
+def test_the_stop_serves_on_first_and_ends_once_nothing_is_owed(bench):
+    stopped, idle, busy = [], bench.client(), bench.client()
+    bench.send(busy, "id1")
+    bench.clients.stop(bench.reactor, lambda: stopped.append(bench.now()))
+    bench.turn(LAST_CONNECTIONS - 0.1)
+    late = bench.client()
+    assert idle.connected and bench.clients.port is not None
+    bench.turn(0.2)
+    assert not idle.connected and not late.connected and busy.connected and not stopped
+    bench.say((face.ABORT, "id1"))
+    assert busy.taken() == b"-ERR aborted\r\n" and not busy.connected and len(stopped) == 1
+
+
+def test_one_call_that_fails_is_logged_and_the_rest_of_the_turn_goes_on(bench):
+    bench.loop.gather(lambda now: 1 / 0)
+    bench.send(bench.client(), "id1")
+    bench.say((face.PICK, "id1", "not listed", 1), (face.ABORT, "id1"))
+    events = [json.loads(line) for line in bench.lines.getvalue().splitlines()]
+    assert [e["where"] for e in events if e["event"] == "failed"] == ["input", "carrying out pick"]
+    assert "ZeroDivisionError" in next(e["trace"] for e in events if e["event"] == "failed")
+
+
+def test_load_reports_that_cannot_be_read_are_left_out():
+    assert load_report(b"inflight=7,queue=x,util=0.5,new=1") == {"in_flight": 7.0, "busy": 0.5}
+    assert load_report(None) == {} and load_report(b"failed") == {}
+
+
+@pytest.mark.parametrize(
+    "text, names", [(None, "LB_CONFIG"), ("{", "configuration"), ('{"listen":1}', "listen")]
+)
+def test_a_configuration_that_cannot_be_used_is_named_in_one_line(tmp_path, text, names):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    with pytest.raises(ValueError, match=names) as error:
+        program.station({"LB_CONFIG": str(path)} if text is not None else {})
+    assert "\n" not in str(error.value)
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_whatever_breaks_nothing_is_answered_twice_lost_or_left_open(seed):
+    dice, bench = Random(seed), Bench(descriptors=12)
+    rows = [("s-1", 1, "active", 0), ("s-2", 2, "active", 0)]
+    bench.list(*rows)
+    clients: list[Wire] = []
+    lines: list[Wire] = []
+    owed: dict[Client, int] = {}
+    for n in range(300):
+        clients = [wire for wire in clients if wire.connected]
+        lines = [wire for wire in lines if wire.connected]
+        open_rpcs = [rpc for rpc in bench.loop.open.values() if not rpc.ended]
+        match dice.randrange(9):
+            case 0 | 1:
+                if len(clients) < 6:
+                    clients.append(bench.client())
+                wire = dice.choice(clients)
+                if wire.connected:
+                    owed[wire.protocol] = owed.get(wire.protocol, 0) + 1
+                    bench.send(wire, f"r{n}")
+            case 2 | 3 if open_rpcs:
+                bench.say(
+                    (
+                        face.PICK,
+                        dice.choice(open_rpcs).id,
+                        dice.choice(("s-1", "s-2")),
+                        dice.randint(1, 400_000),
+                    )
+                )
+            case 4 if open_rpcs:
+                rpc = dice.choice(open_rpcs).id
+                bench.say(dice.choice(((face.ABORT, rpc), (face.PUSH_BACK, rpc, 0), (face.CANCEL, rpc, 0))))
+            case 5 if bench.dialled < len(bench.reactor.tcpClients):
+                if dice.random() < 0.7:
+                    lines.append(bench.up())
+                else:
+                    bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            case 6 if lines:
+                wire = dice.choice(lines)
+                if wire.protocol.pick is not None:
+                    wire.protocol.dataReceived(
+                        dice.choice((b"*1\r\n$1\r\n1\r\n", b"-ERR failed\r\n", b"-BUSY\r\n", b"?"))
+                    )
+            case 7 if lines or clients:
+                dice.choice(lines + clients).lose()
+            case 8:
+                bench.list(*dice.sample(rows, 2)[: dice.randint(1, 2)])
+        bench.turn(dice.choice((0, 0, 0.01, 0.3)))
+        picks = bench.instances.picks.values()
+        assert sum(rpc.out for rpc in bench.loop.open.values()) == len(picks)
+        assert all(rpc.out or not rpc.ended for rpc in bench.loop.open.values())
+        assert all((pick.line is None) == (pick in pick.place.waiting) for pick in picks)
+        for wire in clients:
+            if wire.connected:
+                answers = wire.value().count(b"\r\n") - wire.value().count(b"$1\r\n")
+                assert answers + len(wire.protocol.owed) == owed.get(wire.protocol, 0)
+    for rpc in [rpc.id for rpc in bench.loop.open.values() if not rpc.ended]:
+        bench.say((face.ABORT, rpc))
+    for wire in clients + lines:
+        wire.lose()
+    while bench.dialled < len(bench.reactor.tcpClients):
+        bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    bench.turn(1)
+    counts = bench.log.counts
+    total = {
+        kind: sum(c for names, c in counts.items() if names[0] == kind)
+        for kind in ("taken", "answered", "gone")
+    }
+    ends = sum(told[0] == "on_reply" for told in bench.module.told)
+    assert total["taken"] == total["answered"] + total["gone"] and bench.loop.unanswered == 0
+    assert ends == sum(c for names, c in counts.items() if names[0] == "picked")
+    assert not bench.loop.open and not bench.instances.picks
+    assert bench.instances.descriptors.open == bench.clients.descriptors.open == 0
