--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -95,7 +95,7 @@
     most = at.limits.sockets - len(os.listdir("/proc/self/fd")) - BESIDE_INSTANCES
     loop = Loop(Choice(start, int(at.seed, 16), now()), reactor, now, log)
     instances = Instances(
-        loop, reactor, most // 3, connect_wait, micros(settings.permissions.idle_close), log
+        loop, reactor, most // 4, connect_wait, micros(settings.permissions.idle_close), log
     )
     line_most = int(at.limits.memory_mb * (1 << 20)) // 16  # a list beyond this would not be held anyway
     follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
@@ -116,7 +116,8 @@
     loop.turn()
     discovery.start()
     platform.start()
-    return Clients(loop, methods, Descriptors(most - most // 3), log), instances, loop
+    longest = micros(max(profile.give_up for profile in settings.profiles))
+    return Clients(loop, methods, longest, Descriptors(most - most // 4), log), instances, loop
 
 
 def main() -> int:
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -48,7 +48,7 @@
         self.reader = resp.Reader(commands=True)
         self.owed: deque[Owed] = deque()
         self.leaving = False
-        self.last = 0
+        self.last = clients.loop.now()
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -79,7 +79,7 @@
         """Answers go out in the order of the commands, each once all before it have gone."""
         while self.owed and self.owed[0].words is not None:
             write_out(self.transport, b"".join(self.owed.popleft().words or ()))
-        if (self.leaving or self.clients.paused) and not self.owed:
+        if self.leaving and not self.owed:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
@@ -102,9 +102,9 @@
     """All clients of one gateway."""
 
     def __init__(
-        self, loop: Loop, methods: dict[str, face.Method], descriptors: Descriptors, log: Log
+        self, loop: Loop, methods: dict[str, face.Method], longest: int, descriptors: Descriptors, log: Log
     ) -> None:
-        self.loop, self.descriptors, self.log = loop, descriptors, log
+        self.loop, self.longest, self.descriptors, self.log = loop, longest, descriptors, log
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.open: set[Client] = set()
         self.port: Any = None
@@ -125,8 +125,10 @@
 
     def _make_room(self) -> None:
         """What is accepted is owed an answer, and a whole batch may come at once. Idle connections go, the
-        oldest first; only where none is idle do new ones wait in the system's queue, where time runs on."""
-        idle = [client for client in self.open if not client.owed and not client.leaving]
+        oldest first; only where too few are do new ones wait in the system's queue, where time runs on. One
+        used within a deadline is not idle: where this gateway lags, its next RPC may lie unread in it."""
+        before = self.loop.now() - self.longest
+        idle = [c for c in self.open if not c.owed and not c.leaving and c.last < before]
         for client in sorted(idle, key=lambda client: client.last)[: self._batch()]:
             self.log.count("client.spared")
             self.going += 1
