--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -531,3 +531,19 @@
     assert ends == sum(c for names, c in counts.items() if names[0] == "picked")
     assert not bench.loop.open and not bench.instances.picks
     assert bench.instances.descriptors.open == bench.clients.descriptors.open == 0
+
+
+def test_accepting_pauses_while_no_client_is_idle_and_goes_on_once_one_has_closed():
+    bench, reads = Bench(descriptors=24), []
+    bench.clients.port.stopReading = lambda: reads.append("stop")
+    bench.clients.port.startReading = lambda: reads.append("start")
+    clients = []
+    for n in range(4):
+        clients.append(bench.client())
+        bench.send(clients[-1], f"id{n}")
+    assert reads == ["stop"] and all(client.connected for client in clients)
+    bench.say((face.ABORT, "id0"))
+    assert clients[0].connected and reads == ["stop"]
+    clients[0].lose()
+    clients[1].lose()
+    assert reads == ["stop", "start"]
