SIGHUP reads the configuration anew; discovery and platform move without a gap

Change: SIGHUP is blocked from the first line of __main__ until its handler stands and again at the end; the handler reads the file, Follow.move dials the new address and reads the old one until the new one speaks; changes of the list from before what is known are passed over. Votes go to the new address.

--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -12,7 +12,11 @@
 import sys
 import time
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple
+
+if __name__ == "__main__":
+    # A SIGHUP ends the process where no handler stands: it waits until one does, and again at the end.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 import msgspec
 from msgspec import Struct
@@ -32,8 +36,8 @@
 
 YOUNG = 20_000  # objects before the collector looks: an RPC leaves no cycles, so it finds next to nothing
 TOLD = {"name": "LB_NAME", "listen": "LB_LISTEN", "discovery": "LB_DISCOVERY"}
-# The listener, both streams with their second connections, and two votes.
-BESIDE_INSTANCES = 7
+# The listener, both streams with their second connections, two votes, and the configuration when read anew.
+BESIDE_INSTANCES = 8
 
 
 class Limits(Struct):
@@ -85,7 +89,17 @@
     return time.monotonic_ns() // 1000
 
 
-def build(at: Station, log: Log, reactor: Any) -> tuple[Clients, Instances, Loop]:
+class Parts(NamedTuple):
+    """One gateway's parts."""
+
+    clients: Clients
+    instances: Instances
+    platform: Platform
+    discovery: Discovery
+    loop: Loop
+
+
+def build(at: Station, log: Log, reactor: Any) -> Parts:
     """The parts of one gateway; the module has heard the list and the news before anyone can ask."""
     settings, start = at.settings, startup(at.settings)
     methods = {method.name: method for method in start.methods}
@@ -117,7 +131,21 @@
     discovery.start()
     platform.start()
     longest = micros(max(profile.give_up for profile in settings.profiles))
-    return Clients(loop, methods, longest, Descriptors(most - most // 4), log), instances, loop
+    clients = Clients(loop, methods, longest, Descriptors(most - most // 4), log)
+    return Parts(clients, instances, platform, discovery, loop)
+
+
+def reload(parts: Parts, log: Log, environ: dict[str, str]) -> None:
+    """The configuration read anew: discovery and the platform are taken up where it says. What else it holds
+    counts from the next start. One that cannot be used leaves all as it is."""
+    try:
+        at = station(environ)
+    except ValueError as error:
+        log.event("reload.refused", error=str(error))
+        return
+    parts.discovery.move(host_port(at.discovery))
+    parts.platform.move(host_port(at.platform.address))
+    log.event("reloaded", discovery=at.discovery, platform=at.platform.address)
 
 
 def main() -> int:
@@ -130,7 +158,8 @@
     globalLogBeginner.beginLoggingTo([partial(unhandled, log)], redirectStandardIO=False, discardBuffer=True)
     reactor = Reactor()
     installReactor(reactor)
-    clients, instances, loop = build(at, log, reactor)
+    parts = build(at, log, reactor)
+    clients, instances, _, _, loop = parts
     reactor.serve(loop)
     clients.listen(reactor, *host_port(at.listen))
     log.event("started", gateway=at.name, listen=at.listen)
@@ -142,13 +171,17 @@
     def counters(*_: object) -> None:
         log.counters(open=loop.unanswered, clients=clients.descriptors.open, lines=instances.descriptors.open)
 
-    for number, handler in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGUSR1, counters)):
+    anew = partial(reload, parts, log, dict(os.environ))
+    handlers = {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGUSR1: counters, signal.SIGHUP: anew}
+    for number, handler in handlers.items():
         signal.signal(number, lambda *_, handler=handler: reactor.callFromThread(handler))
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     # What the start has left never goes: keep the collector from walking over it while RPCs wait.
     gc.collect()
     gc.freeze()
     gc.set_threshold(YOUNG)
     reactor.run(installSignalHandlers=False)
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     counters()
     log.event("stopped")
     return 0
--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -75,6 +75,10 @@
     def watch(self) -> None:
         self.follow.start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The list comes from another address, from the version last heard on."""
+        self.follow.move(address)
+
     def told(self, line: memoryview) -> None:
         try:
             listing = msgspec.json.decode(line, type=Listing)
@@ -84,7 +88,10 @@
         self.take(listing, answers=True)
 
     def take(self, listing: Listing, answers: bool) -> None:
-        """A list or its changes, to the connections now and to the module in the next turn."""
+        """A list or its changes, to the connections now and to the module in the next turn. Changes from
+        before what is known have been heard at an address now left."""
+        if not listing.snapshot and listing.index < self.index:
+            return
         self.index = listing.index
         listed, whole = [], listing.snapshot
         for raw in listing.endpoints:
--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -1,7 +1,8 @@
 """One HTTP answer that never ends, a JSON object a line: kept up for the life of the process.
 
 Owns the connections it is read from: one, and a second while the first is silent, since a dead link says
-nothing. It must never read a line's meaning; whoever follows is handed each line in its order.
+nothing, or while it moves to another address. It must never read a line's meaning; whoever follows is handed
+each line in its order, and says with MalformedError that it could not be read.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 from linenbridge.net import http
 from linenbridge.net.log import Log
+from linenbridge.net.loop import read_out
 from linenbridge.net.resp import MalformedError
 
 MISSED = 3  # signs of life left out before a silent connection is doubted
@@ -23,13 +25,13 @@
     """One connection; its answer is cut into lines."""
 
     def __init__(self, follow: Follow) -> None:
-        self.follow = follow
+        self.follow, self.address = follow, follow.address
         self.answers, self.lines = http.Answers(), http.Lines(follow.most)
-        self.over = False
+        self.over = self.spoke = False
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.transport.write(http.request("GET", self.follow.path(), self.follow.host))
+        self.transport.write(http.request("GET", self.follow.path(), "{}:{}".format(*self.address)))
 
     def dataReceived(self, data: bytes) -> None:
         try:
@@ -58,16 +60,17 @@
         told: Callable[[memoryview], None], sign: float, connect_wait: int, most: int, log: Log,
     ) -> None:  # fmt: skip
         self.name, self.reactor, self.address, self.path, self.told = name, reactor, address, path, told
-        self.host = f"{address[0]}:{address[1]}"
         self.silence, self.connect_wait = MISSED * sign, connect_wait / 1e6
         self.most, self.log = most, log
         self.streams: list[Stream] = []
         self.coming: Any = None
         self.timer: Any = None
         self.well: bool | None = None
+        self.started = False
 
     def start(self) -> None:
         """One more connection, unless one is coming up; it has as long to speak as silence may last."""
+        self.started = True
         self._arm(self.silence)
         if self.coming is None:
             self.log.count(self.name, "opened")
@@ -76,6 +79,16 @@
             )
             self.coming.addCallbacks(self._up, self._failed)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on at another address. What is open at the old one is read until the new one speaks: what
+        is told in between is not missed, whichever closes or comes up first."""
+        if address != self.address:
+            self.address = address
+            if self.coming is not None:
+                self.coming.cancel()
+            if self.started:
+                self.start()
+
     def _arm(self, wait: float) -> None:
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -85,6 +98,8 @@
         self.coming = None
         if not stream.over:
             self.streams.append(stream)
+        elif not self.streams:
+            self._arm(self.connect_wait)
 
     def _failed(self, failure: Any) -> None:
         self.coming = None
@@ -99,13 +114,22 @@
         self.start()
 
     def heard(self, stream: Stream, line: memoryview) -> None:
-        """A line on any of them: that one stays, the others have served."""
-        self._state(True, "")
-        self._arm(self.silence)
-        for other in [other for other in self.streams if other is not stream]:
-            self._drop(other)
+        """A line that can be read, on any of them: that one stays, the others have served. One at an address
+        left behind ends nothing at the present one, and is read out before what comes after it."""
+        present = stream.address == self.address
+        served = [s for s in self.streams if s is not stream and (present or s.address != self.address)]
+        for other in served:
+            if present and other.address != self.address:
+                read_out(other.transport)
         if bytes(line).strip():
             self.told(line)
+        stream.spoke = True
+        if present:
+            self._state(True, "")
+            self._arm(self.silence)
+        for other in served:
+            if not other.over:
+                self._drop(other)
 
     def _drop(self, stream: Stream) -> None:
         stream.over = True
@@ -113,13 +137,14 @@
         stream.transport.abortConnection()
 
     def ended(self, stream: Stream) -> None:
-        """The one place where a connection is given back; taken up anew when none is left."""
+        """The one place where a connection is given back; taken up anew when none is left: at once after one
+        that spoke, so that what it could not tell is soon told anew, else after a wait."""
         dropped, stream.over = stream.over, True
         if stream in self.streams:
             self.streams.remove(stream)
         if not dropped and not self.streams and self.coming is None:
             self._state(False, "ended")
-            self._arm(self.connect_wait)
+            self._arm(0 if stream.spoke else self.connect_wait)
 
     def _state(self, well: bool, why: str) -> None:
         if well != self.well:
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -190,6 +190,12 @@
         )
 
 
+def read_out(transport: Any) -> None:
+    """What lies unread on a connection that is about to be let go is read first."""
+    if transport.connected:
+        transport.doRead()
+
+
 def write_out(transport: Any, data: bytes) -> bool:
     """Hand it to the system at once where nothing is queued before it, the rest to the reactor: a wait for
     the next turn and two calls to the system saved for each message. True where its last byte has left."""
--- a/linenbridge/net/platform.py
+++ b/linenbridge/net/platform.py
@@ -106,6 +106,11 @@
     def start(self) -> None:
         self.feed.start()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """News and votes go by another address; a vote that is out ends where it went."""
+        self.address = address
+        self.feed.move(address)
+
     # ---- news ------------------------------------------------------------------------------------
 
     def told(self, line: memoryview) -> None:
