Spoilt answers end their connection, count as spoilt, and never pass as another RPC's

Cause, by reading and by tests that fail without the change: Line.dataReceived let _idle write the next pick to the line while bytes of the same read were still to be cut, so a second copy passed as that pick's answer; answered took any array that begins with a value and any error that begins with BUSY; a spoilt answer was 'broken' and struck a sound instance; lines of the feed and of discovery that could not be read kept their stream; load_report let nan, inf and negative figures through; a flag was laid on whatever build its instance's id has now (observedAgoMs unread).

--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -77,7 +77,8 @@
             raise ValueError("it holds no object")
         named = {field: environ[name] for field, name in TOLD.items() if name in environ}
         found = msgspec.json.decode(msgspec.json.encode({**named, **told}), type=Station)
-        for address in (found.listen, found.discovery, found.platform.address):
+        listed = [row.address for row in found.known.endpoints] if found.known is not None else []
+        for address in (found.listen, found.discovery, found.platform.address, *listed):
             host_port(address)
         int(found.seed, 16)
     except (OSError, ValueError) as error:
--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -15,7 +15,7 @@
 
 from linenbridge.interface import (
     ABORT, BACK, BROKEN, CANCEL, ERROR, FULL, HOLD, IDEMPOTENT, LOG, NO_VOTE, NON_IDEMPOTENT, OK, ON,
-    ON_TRIAL, PICK, PUSH_BACK, RELEASED, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
+    ON_TRIAL, PICK, PUSH_BACK, RELEASED, SPOILT, TELL, TIMED_OUT, TOKENED, UNREACHED, VOTE, WATCH, WITHDRAWN,
     Id, ListEntry, Startup,
 )  # fmt: skip
 from linenbridge.state.counters import BuildRecord, CapBucket, Counts, DecayingRate, Parts
@@ -196,9 +196,9 @@
             if self._few(now):
                 self._hear(build, m, counts)
 
-    def on_flag(self, now: int, instance: Id, method: str) -> None:
-        i = self.fleet.index.get(instance)
-        if i is not None:
+    def on_flag(self, now: int, instance: Id, method: str, sent: int) -> None:
+        """Of a pick sent then: an id that came back since, with another build, is not to blame."""
+        if (i := self.fleet.index.get(instance)) is not None and self.fleet.started[i] <= sent:
             self._hear(self.fleet.build[i], self.row[method], Counts(1, 1, 0, 0), i)
 
     # ---- evidence: the design's sum over counts, own ones first ----------------------------------
@@ -530,7 +530,7 @@
             fleet.reported(i, now, reported, TOOK_WEIGHT)
         if outcome in (UNREACHED, BROKEN, TIMED_OUT):
             self._strike(now, i)
-        elif outcome in (OK, ERROR, FULL):
+        elif outcome in (OK, ERROR, FULL, SPOILT):
             fleet.answered(i, now, GAP_WEIGHT)
             # FULL too: one that drains before the list says so turns all away at once and would look empty.
             fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -68,8 +68,7 @@
                     self.clients.log.count("unfit")
                     owed.answer((f"-ERR {error}\r\n".encode(),))
         except resp.MalformedError as error:
-            self.clients.log.count("malformed.client")
-            self.clients.log.event("malformed", of="client", error=str(error))
+            self.clients.log.malformed("client", error)
             self.transport.pauseProducing()
             self.owed.append(owed := Owed(self))
             self.leaving = True
--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -1,14 +1,14 @@
 """Discovery: the list of instances, followed for the life of the process.
 
 Owns the version last heard and the watch's stream. It turns entries into the module's, with Unix times
-moved to the gateway's clock in one place. It must never judge an instance, nor let a bad entry undo what is
-known.
+moved to the gateway's clock in one place. It must never judge an instance, nor take a list or its changes in
+part: one that cannot be read whole ends its stream, and the next is asked from the version last read whole.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, Literal
+from typing import Literal
 
 import msgspec
 from msgspec import Struct
@@ -18,6 +18,7 @@
 from linenbridge.net.instances import Instances
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
+from linenbridge.net.resp import MalformedError
 from linenbridge.startup import LONG_AGO
 
 SIGN_OF_LIFE = 2.0  # PROTOCOL, Discovery: an empty line comes every 2 s
@@ -42,7 +43,7 @@
 
     index: int
     snapshot: bool
-    endpoints: list[msgspec.Raw]
+    endpoints: list[Endpoint]
 
 
 def host_port(address: str) -> tuple[str, int]:
@@ -82,25 +83,17 @@
     def told(self, line: memoryview) -> None:
         try:
             listing = msgspec.json.decode(line, type=Listing)
-        except msgspec.DecodeError as error:
-            self._unread(str(error))
-            return
-        self.take(listing, answers=True)
+            self.take(listing, answers=True)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise MalformedError(str(error)) from None
 
     def take(self, listing: Listing, answers: bool) -> None:
         """A list or its changes, to the connections now and to the module in the next turn. Changes from
         before what is known have been heard at an address now left."""
         if not listing.snapshot and listing.index < self.index:
             return
-        self.index = listing.index
-        listed, whole = [], listing.snapshot
-        for raw in listing.endpoints:
-            try:
-                row = msgspec.json.decode(raw, type=Endpoint)
-                listed.append((self._entry(row), host_port(row.address)))
-            except (msgspec.DecodeError, ValueError) as error:
-                self._unread(str(error))
-                whole = False  # What the unread entry is about stays as it is known.
+        listed = [(self._entry(row), host_port(row.address)) for row in listing.endpoints]
+        self.index, whole = listing.index, listing.snapshot
         self.instances.listed(listed, whole)
         entries = [entry for entry, _ in listed]
         self.loop.gather(lambda now: self.loop.gateway.on_list(now, entries, whole=whole, answers=answers))
@@ -111,12 +104,3 @@
         return face.ListEntry(
             row.name, row.release, row.zone, row.group, STATES[row.status], row.weight, started
         )
-
-    def _unread(self, error: str) -> None:
-        self.log.count("malformed.discovery")
-        self.log.event("malformed", of="discovery", error=error)
-
-
-def first_listing(known: dict[str, Any]) -> Listing:
-    """The list as the configuration holds it."""
-    return msgspec.json.decode(msgspec.json.encode(known), type=Listing)
--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -44,8 +44,7 @@
                 if piece.last:
                     self.transport.abortConnection()
         except MalformedError as error:
-            self.follow.log.count("malformed", self.follow.name)
-            self.follow.log.event("malformed", of=self.follow.name, error=str(error))
+            self.follow.log.malformed(self.follow.name, error)
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Any) -> None:
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -2,12 +2,13 @@
 
 Owns every connection to an instance, every pick from its decision to its one outcome, and each pick's
 timer; it keeps the count of descriptors, where its idle connections go first. It must never choose an
-instance, nor write a pick twice, nor write to a connection that has closed or that belongs to a process now
-replaced.
+instance, nor write a pick twice, nor write to a connection that has closed, that belongs to a process now
+replaced, or on which more has come than was asked for: what lies there would pass as the next pick's answer.
 """
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from collections.abc import Callable, Iterable
 from heapq import heappop, heappush
@@ -19,9 +20,12 @@
 from linenbridge import interface as face
 from linenbridge.net import resp
 from linenbridge.net.log import Log
-from linenbridge.net.loop import Loop, Taken, write_out
+from linenbridge.net.loop import Loop, Taken, untouched, write_out
 from linenbridge.startup import LOADS
 
+# PROTOCOL, Gateways to instances: the error lines and the load report that may come last in them.
+ERROR_LINE = re.compile(rb"(BUSY|ERR|SYNTAX|NOPERM)( [ -~]*)?")
+REPORT = re.compile(rb"[a-z_]+=\d{1,9}(\.\d{1,9})?(,[a-z_]+=\d{1,9}(\.\d{1,9})?)*")
 
 class Descriptors:
     """How many sockets may be open; when none is left, `spare` is asked to close one."""
@@ -58,7 +62,7 @@
 
     def __init__(self, entry: face.ListEntry, address: tuple[str, int]) -> None:
         self.entry, self.address = entry, address
-        self.idle: list[Line] = []
+        self.idle: deque[Line] = deque()
         self.waiting: deque[Pick] = deque()
         self.coming = 0
 
@@ -78,17 +82,21 @@
         self.transport.setTcpNoDelay(True)
 
     def dataReceived(self, data: bytes) -> None:
+        """One answer, whole, to the pick that is out. What comes beside it spoils the connection, not the
+        answer; the connection goes back only once all that was read is known to be the answer."""
         try:
             for message in self.reader.feed(data):
                 if self.pick is None:
-                    raise resp.MalformedError("an answer that nobody asked for")
+                    raise resp.MalformedError("more than the answer")
                 self.instances.answered(self, self.pick, message)
+            if self.pick is None and self.reader.size:
+                raise resp.MalformedError("more than the answer")
         except resp.MalformedError as error:
-            self.instances.log.count("malformed.instance")
-            self.instances.log.event(
-                "malformed", of="instance", instance=self.place.entry.instance, error=str(error)
-            )
-            self.transport.abortConnection()
+            self.instances.log.malformed("instance", error, instance=self.place.entry.instance)
+            self.instances.spoilt(self)
+            return
+        if self.pick is None:
+            self.instances.free(self)
 
     def connectionLost(self, reason: Any) -> None:
         self.instances.closed(self)
@@ -122,16 +130,19 @@
             named.add(entry.instance)
             place = self.places.get(entry.instance)
             if place is None:
-                self.places[entry.instance] = Place(entry, address)
+                if entry.state != face.GONE:
+                    self.places[entry.instance] = Place(entry, address)
                 continue
             before = (place.address, place.entry.started, place.entry.build)
             place.entry, place.address = entry, address
             if entry.state != face.READY or before != (address, entry.started, entry.build):
                 self._leave(place)
-        if whole:
-            for name, place in self.places.items():
-                if name not in named:
-                    self._leave(place)
+        for name, place in list(self.places.items()):
+            if place.entry.state == face.GONE or (whole and name not in named):
+                # Forgotten here; connections still busy hold it until they close, as nothing is ready there.
+                place.entry = place.entry._replace(state=face.GONE)
+                del self.places[name]
+                self._leave(place)
 
     def _leave(self, place: Place) -> None:
         """Idle connections close; picks not yet written have never run and are placed anew."""
@@ -144,16 +155,23 @@
 
     def pick(self, now: int, rpc: Taken, number: int, instance: face.Id, time_out: int) -> None:
         """Write it to an idle connection, or as soon as one is idle or has come up."""
-        place = self.places[instance]
+        place = self.places.get(instance)
+        if place is None:  # It has left the list since the module last heard of it.
+            self.loop.pick_ended(rpc, number, now, face.UNSENT, {})
+            return
         pick = self.picks[rpc.id, number] = Pick(rpc, number, place, now, now + time_out)
         while self.due and self.due[0][2].ended:
             heappop(self.due)
         heappush(self.due, (pick.until, next(self.serial), pick))
         if self.timer is None or pick.until < self.timer_at:
             self._arm(now)
-        if place.idle:
-            self._write(place.idle.pop(), pick)
-            return
+        while place.idle:
+            # The one idle longest: what an instance sends late has come by now. None is kept that has any.
+            if untouched((line := place.idle.popleft()).transport):
+                self._write(line, pick)
+                return
+            self.log.count("line.spent")
+            self._close(line)
         place.waiting.append(pick)
         if place.coming < len(place.waiting):
             self._connect(place)
@@ -185,22 +203,29 @@
         self._arm(now)
 
     def answered(self, line: Line, pick: Pick, message: resp.Value) -> None:
-        """PROTOCOL's table: an array that begins with the value is ok, a line is an error or a refusal."""
+        """PROTOCOL's table, to the letter: what only looks like a refusal may have run."""
         match message:
-            case [memoryview() as value, *rest]:
-                self._ended(pick, face.OK, load_report(rest[-1] if rest else None), resp.bulk(value))
-            case resp.Line(mark=b"-", text=text):
-                outcome = face.FULL if text.startswith(b"BUSY") else face.ERROR
-                if text.startswith(b"SYNTAX"):
+            case [memoryview() as value, None, (None | memoryview()) as report]:
+                self._ended(pick, face.OK, load_report(report), resp.bulk(value))
+            case resp.Line(mark=b"-", text=text) if ERROR_LINE.fullmatch(text):
+                word, _, report = text.partition(b" ")
+                if word == b"SYNTAX":
                     self.log.event("syntax", instance=line.place.entry.instance)
-                self._ended(pick, outcome, load_report(text.rpartition(b" ")[2]))
+                outcome = face.FULL if word == b"BUSY" else face.ERROR
+                self._ended(pick, outcome, load_report(report.split(b" ")[-1]))
             case _:
                 raise resp.MalformedError("an answer that is neither a value nor an error")
 
+    def spoilt(self, line: Line) -> None:
+        """Of no further use. The pick that was out on it may have run, and its instance has spoken."""
+        if line.pick is not None:
+            self._ended(line.pick, face.SPOILT)
+        self._close(line)
+
     def _ended(
         self, pick: Pick, outcome: str, load: dict[str, float] | None = None, value: tuple = ()
     ) -> None:
-        """The one place where a pick is given back; its connection goes idle only if its answer has come."""
+        """The one place where a pick is given back; its connection stays only if its answer has come."""
         if pick.ended:
             return
         pick.ended = True
@@ -210,9 +235,7 @@
             pick.place.waiting.remove(pick)
         else:
             line.pick = None
-            if outcome in (face.OK, face.ERROR, face.FULL):
-                self._idle(line)
-            else:
+            if outcome not in (face.OK, face.ERROR, face.FULL):
                 self._close(line)
         self.loop.pick_ended(pick.rpc, pick.number, pick.sent, outcome, load or {}, value)
 
@@ -238,7 +261,7 @@
         if line.lost:
             self._too_many_waiting(line.place)
         else:
-            self._idle(line)
+            self.free(line)
 
     def _failed(self, place: Place) -> None:
         place.coming -= 1
@@ -251,11 +274,12 @@
         while len(place.waiting) > place.coming:
             self._ended(place.waiting[0], face.UNREACHED)
 
-    def _idle(self, line: Line) -> None:
+    def free(self, line: Line) -> None:
         """To the pick that waits first, or kept; not where the instance has moved or is another process."""
         place = line.place
         entry = place.entry
-        if line.address != place.address or line.process != (entry.started, entry.build):
+        same = line.address == place.address and line.process == (entry.started, entry.build)
+        if not same or (place.waiting and not untouched(line.transport)):
             self._close(line)
             self._too_many_waiting(place)
         elif place.waiting:
@@ -302,13 +326,13 @@
             self._ended(line.pick, face.BROKEN)
 
 
-def load_report(text: object) -> dict[str, float]:
-    """What a load report says in the module's names; what cannot be read is left out."""
+def load_report(text: bytes | memoryview | None) -> dict[str, float]:
+    """What a load report says in the module's names; one that cannot be read whole says nothing."""
     load: dict[str, float] = {}
-    for part in bytes(text).split(b",") if isinstance(text, (bytes, memoryview)) else ():
+    if text is None or not REPORT.fullmatch(text):
+        return load
+    for part in bytes(text).split(b","):
         name, _, figure = part.partition(b"=")
-        try:
-            load[LOADS[name.decode()]] = float(figure)
-        except (KeyError, ValueError):
-            continue
+        if (known := LOADS.get(name.decode())) is not None:
+            load[known] = float(figure)
     return load
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from socket import MSG_PEEK
 from typing import Any, Protocol
 
 from linenbridge import interface as face
@@ -190,6 +191,17 @@
         )
 
 
+def untouched(transport: Any) -> bool:
+    """Whether nothing lies unread on a connection, neither bytes nor its end."""
+    try:
+        transport.socket.recv(1, MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
 def read_out(transport: Any) -> None:
     """What lies unread on a connection that is about to be let go is read first."""
     if transport.connected:
--- a/linenbridge/net/platform.py
+++ b/linenbridge/net/platform.py
@@ -50,20 +50,27 @@
     observed_ago_ms: float = 0.0
 
 
-class Flag(Struct):
+class Flag(Struct, rename="camel"):
     """A wrong answer that a client has reported."""
 
     pod: str
     kind: str
+    observed_ago_ms: float = 0.0
 
 
 class Told(Struct):
     """One line of the feed; a sign of life holds nothing."""
 
-    type: str = ""
+    type: Literal["", "stage", "tally", "flag"] = ""
     object: msgspec.Raw = msgspec.Raw(b"{}")
 
 
+class Refusal(Struct):
+    """Why a vote was not taken."""
+
+    error: Literal["limit", "moot", "error", "malformed"]
+
+
 class Call(Protocol):
     """One request on a connection of its own; `answer` fires with its status and body, or fails."""
 
@@ -79,6 +86,8 @@
         try:
             for piece in self.answers.feed(data):
                 self.body += piece.body
+                if len(self.body) > http.HEAD_MOST:
+                    raise MalformedError("an answer to a vote is too long")
                 if piece.last and not self.answer.called:
                     self.answer.callback((piece.status, self.body))
                     self.transport.loseConnection()
@@ -114,6 +123,7 @@
     # ---- news ------------------------------------------------------------------------------------
 
     def told(self, line: memoryview) -> None:
+        """One that can be read whole is true; another ends its stream, and the next begins with the stage."""
         try:
             told = msgspec.json.decode(line, type=Told)
             match told.type:
@@ -124,8 +134,7 @@
                 case "flag":
                     self._flag(msgspec.json.decode(told.object, type=Flag))
         except msgspec.DecodeError as error:
-            self.log.count("malformed.feed")
-            self.log.event("malformed", of="feed", error=str(error))
+            raise MalformedError(str(error)) from None
 
     def stands(self, news: News, vote: bool) -> None:
         phase = PHASES[news.status]
@@ -145,8 +154,9 @@
         )
 
     def _flag(self, flag: Flag) -> None:
+        sent = self.loop.now() - round(flag.observed_ago_ms * 1000)
         if flag.kind in self.methods:
-            self.loop.gather(lambda now: self.loop.gateway.on_flag(now, flag.pod, flag.kind))
+            self.loop.gather(lambda now: self.loop.gateway.on_flag(now, flag.pod, flag.kind, sent))
 
     # ---- votes -----------------------------------------------------------------------------------
 
@@ -165,18 +175,21 @@
 
     def _answered(self, answer: tuple[int, bytes]) -> None:
         status, body = answer
-        if status == HTTP_OK:
-            try:
+        try:
+            if status == HTTP_OK:
                 self.stands(msgspec.json.decode(body, type=News), vote=True)
-            except msgspec.DecodeError as error:
-                self.log.count("malformed.vote")
-                self.log.event("malformed", of="vote", error=str(error))
-            else:
                 self.log.count("vote.counted")
                 return
+            msgspec.json.decode(body, type=Refusal)
+        except msgspec.DecodeError as error:
+            self.log.malformed("vote", error)
+            self._uncounted("vote.unanswered", False)  # It may have counted.
+            return
         self._uncounted("vote.moot" if status == MOOT else f"vote.status_{status}", status == MOOT)
 
     def _unanswered(self, failure: Any) -> None:
+        if failure.check(MalformedError):
+            self.log.malformed("vote", failure.value)
         self._uncounted("vote.unanswered", False)
 
     def _uncounted(self, what: str, moot: bool) -> None:
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -126,7 +126,7 @@
         gateway.on_reply(self.now, message.handle, message.hop, outcome, message.final, took, load)
 
     def objection(self, gateway: Choice, message: wire.Objection) -> None:
-        gateway.on_flag(self.now, message.instance, message.profile)
+        gateway.on_flag(self.now, message.instance, message.profile, self.now)
 
     def elapsed(self, gateway: Choice, message: wire.Elapsed) -> None:
         if message.mark == str(self.armed.get(message.gateway_id)):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -34,6 +34,14 @@
 STAGE = {"version": 2, "step": 0, "status": "testing", "maxWeight": 0.2, "observedAgoMs": 5}
 
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(line: dict) -> bytes:
+    text = json.dumps(line).encode() + b"\n"
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
 class Wire(StringTransport):
     """A transport in memory that can be written through, aborted and lost."""
 
@@ -43,6 +51,15 @@
         self.write(data)
         return len(data)
 
+    @property
+    def socket(self) -> Wire:
+        return self
+
+    def recv(self, size: int, flags: int) -> bytes:
+        if self.connected and not self.unread:
+            raise BlockingIOError
+        return self.unread[:size]
+
     def doRead(self) -> None:  # noqa: N802
         unread, self.unread = self.unread, b""
         if unread:
@@ -247,7 +264,7 @@
         ("error", face.ERROR),
         ("busy", face.FULL),
         ("broken", face.BROKEN),
-        ("garbage", face.BROKEN),
+        ("garbage", face.SPOILT),
         ("refused", face.UNREACHED),
         ("late", face.TIMED_OUT),
         ("never up", face.UNREACHED),
@@ -296,8 +313,8 @@
     bench.send(client, "id1")
     bench.say((face.PICK, "id1", "s-1", 500_000), (face.PICK, "id1", "s-1", 500_000))
     first, second = bench.up(), bench.up()
-    second.protocol.dataReceived(b"*1\r\n$1\r\n2\r\n")
-    first.protocol.dataReceived(b"*1\r\n$1\r\n1\r\n")
+    second.protocol.dataReceived(b"*3\r\n$1\r\n2\r\n$-1\r\n$-1\r\n")
+    first.protocol.dataReceived(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
     bench.turn()
     assert client.taken() == b"$1\r\n2\r\n" and len(bench.outcomes()) == 2 and not bench.loop.open
     bench.send(client, "id2")
@@ -315,7 +332,7 @@
         bench.send(client, rpc)
         bench.say((face.PICK, rpc, "s-1", 500_000))
         line = bench.up()
-        line.protocol.dataReceived(b"*1\r\n$1\r\n1\r\n")
+        line.protocol.dataReceived(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
         bench.turn()
         if rpc == "id1":
             bench.turn(1.9)
@@ -339,16 +356,29 @@
     assert bench.clients.descriptors.open <= 4 and b"turned_away" not in bench.lines.getvalue()
 
 
-def test_the_list_is_kept_where_an_entry_cannot_be_read_and_starts_keep_their_figure(bench):
-    bench.discovery.told(memoryview(b"{nonsense"))
-    bad = {"index": 7, "snapshot": True, "endpoints": [{"name": "s-9"}]}
-    bench.discovery.told(memoryview(json.dumps(bad).encode()))
-    bench.list(("s-2", 2, "active", 12), whole=False)
-    bench.list(("s-2", 2, "active", 12), whole=False)
-    lists = [told for told in bench.module.told if told[0] == "on_list"]
-    assert [told[2] for told in lists] == [True, False, False, False]
-    assert [entry.started for told in lists[2:] for entry in told[1]] == [13_000, 13_000]
-    assert bench.log.counts["malformed.discovery",] == 2
+def test_a_list_that_cannot_be_read_whole_ends_its_stream_and_is_asked_for_anew(bench):
+    bench.discovery.start()
+    stream = bench.up()
+    row = dict(name="s-2", address="10.0.0.2:6379", status="active", release=2, since_ms=12)
+    stream.protocol.dataReceived(HEAD + chunk(dict(index=8, snapshot=False, endpoints=[row])))
+    for bad in ({"name": "s-9"}, row | {"address": "nowhere"}, row | {"status": "act\0ve"}):
+        stream.protocol.dataReceived(chunk(dict(index=9, snapshot=True, endpoints=[row, bad])))
+        assert not stream.connected and bench.discovery.index == 8
+        bench.turn()
+        stream = bench.up()
+        assert stream.taken().startswith(b"GET /catalog/members?follow=1&since=8 HTTP/1.1\r\n")
+        stream.protocol.dataReceived(HEAD + chunk(dict(index=8, snapshot=False, endpoints=[row])))
+    bench.turn()
+    stream.protocol.dataReceived(b"junk\r\n")
+    bench.turn()
+    bench.up().protocol.dataReceived(b"noise from the first byte on\r\n\r\n")
+    bench.turn(0.1)
+    assert bench.dialled == len(bench.reactor.tcpClients)
+    bench.turn(0.2)
+    bench.up()
+    lists = [told for told in bench.module.told if told[0] == "on_list"][1:]
+    assert [(told[2], [entry.started for entry in told[1]]) for told in lists] == [(False, [13_000])] * 4
+    assert bench.log.counts["malformed", "discovery"] == 5
 
 
 def test_a_silent_stream_is_read_beside_a_second_one_and_taken_up_after_its_end(bench):
@@ -369,14 +399,6 @@
     assert len(bench.reactor.tcpClients) == 3
 
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-
-
-def chunk(line: dict) -> bytes:
-    text = json.dumps(line).encode() + b"\n"
-    return b"%x\r\n%b\r\n" % (len(text), text)
-
-
 def changed(index: int, name: str) -> bytes:
     row = dict(name=name, address="10.0.0.3:6379", status="active", release=1)
     return chunk(dict(index=index, snapshot=False, endpoints=[row]))
@@ -424,18 +446,38 @@
         dict(type="stage", object=STAGE),
         dict(type="tally", object=tally),
         {},
-        dict(type="new", object={}),
         dict(type="flag", object=dict(pod="s-1", kind="look", observedAgoMs=3)),
         dict(type="flag", object=dict(pod="s-1", kind="nothing")),
-        dict(type="tally", object={}),
     ]
     for line in lines:
         bench.platform.told(memoryview(json.dumps(line).encode()))
     bench.turn()
     assert ("on_stage", 2, 0, face.ON_TRIAL, 0.2, False, True, False) in bench.module.told
     assert ("on_tally", 2, "look", 57, 2, 18_500, 2_100_000) in bench.module.told
-    assert [told for told in bench.module.told if told[0] == "on_flag"] == [("on_flag", "s-1", "look")]
-    assert bench.log.counts["malformed.feed",] == 1
+    flags = [told for told in bench.module.told if told[0] == "on_flag"]
+    assert flags == [("on_flag", "s-1", "look", 2_997_000)]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{}}",
+        b'{"type":"stxge","object":{}}',
+        b'{"type":"stage","object":{"version":2,"step":0,"status":"testxng","maxWeight":1,"observedAgoMs":1}}',
+        b'{"type":"tally","object":{}}',
+        b'{"type":"flag","object":{"pod":7,"kind":"look"}}',
+    ],
+)
+def test_a_line_of_the_feed_that_cannot_be_read_ends_it_and_it_is_taken_up_at_once(bench, line):
+    bench.platform.start()
+    feed, heard = bench.up(), len(bench.module.told)
+    feed.protocol.dataReceived(HEAD + chunk({}) + b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
+    assert not feed.connected
+    bench.turn()
+    bench.up().protocol.dataReceived(HEAD + chunk(dict(type="stage", object=STAGE)))
+    bench.turn()
+    assert [told[0] for told in bench.module.told[heard:]] == ["on_stage"]
+    assert bench.log.counts["malformed", "feed"] == 1
 
 
 @pytest.mark.parametrize(
@@ -446,6 +488,8 @@
         ("429", False, False),
         ("500", False, False),
         ("garbage", False, False),
+        ("409 spoilt", False, False),
+        ("endless", False, False),
         ("broken", False, False),
         ("refused", False, False),
         ("silent", False, False),
@@ -460,11 +504,14 @@
         head, body = call.taken().split(b"\r\n\r\n")
         assert head.startswith(b"POST /api/ballots HTTP/1.1\r\n")
         assert json.loads(body) == {"version": 2, "step": 0, "vote": "back"}
-    body = json.dumps(STAGE).encode()
+    errors = {"409": "moot", "429": "limit", "500": "error", "409 spoilt": "mxxt"}
+    body = json.dumps({"error": errors[happens]} if happens in errors else STAGE).encode()
     match happens:
-        case "200" | "409" | "429" | "500":
+        case "endless":
+            call.protocol.dataReceived(b"HTTP/1.1 200 X\r\nContent-Length: 999999\r\n\r\n" + bytes(70_000))
+        case "200" | "409" | "429" | "500" | "409 spoilt":
             call.protocol.dataReceived(
-                b"HTTP/1.1 %b X\r\nContent-Length: %d\r\n\r\n%b" % (happens.encode(), len(body), body)
+                b"HTTP/1.1 %b X\r\nContent-Length: %d\r\n\r\n%b" % (happens[:3].encode(), len(body), body)
             )
         case "garbage":
             call.protocol.dataReceived(b"what?\r\n\r\n")
@@ -494,15 +541,72 @@
 def test_one_call_that_fails_is_logged_and_the_rest_of_the_turn_goes_on(bench):
     bench.loop.gather(lambda now: 1 / 0)
     bench.send(bench.client(), "id1")
-    bench.say((face.PICK, "id1", "not listed", 1), (face.ABORT, "id1"))
+    bench.say((face.PICK, "no such id", "s-1", 1), (face.ABORT, "id1"))
     events = [json.loads(line) for line in bench.lines.getvalue().splitlines()]
     assert [e["where"] for e in events if e["event"] == "failed"] == ["input", "carrying out pick"]
     assert "ZeroDivisionError" in next(e["trace"] for e in events if e["event"] == "failed")
 
 
 def test_load_reports_that_cannot_be_read_are_left_out():
-    assert load_report(b"inflight=7,queue=x,util=0.5,new=1") == {"in_flight": 7.0, "busy": 0.5}
-    assert load_report(None) == {} and load_report(b"failed") == {}
+    assert load_report(b"inflight=7,util=0.5,new=1") == {"in_flight": 7.0, "busy": 0.5}
+    for spoilt in (None, b"failed", b"", b"inflight=7,queue=x", b"inflight=nan", b"inflight=-1", b"util=1e9"):
+        assert load_report(spoilt) == {}
+
+
+SPOILT = [
+    b"\x9d\x03k\r\n", b"*3\r\n$1\r\nv\r\n$-1\r\n+x\r\n", b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+    b"*2\r\n$1\r\nv\r\n$-1\r\n", b"*3\r\n$3000000000\r\nvv", b"*3\r\n$2\r\nv\r\n$-1\r\n$-1\r\n",
+    b"-BUSYBODY\r\n", b"-ERR\xfffailed\r\n", b"-" + b"x" * 70_000,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_an_answer_that_is_spoilt_may_have_run_and_its_connection_serves_nobody_else(bench, answer):
+    bench.send(bench.client(), "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    line.protocol.dataReceived(answer)
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, face.SPOILT)] and not line.connected
+    assert not bench.instances.picks and bench.instances.descriptors.open == 0
+
+
+@pytest.mark.parametrize("more", [b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", b"\r\n", b"\x00\xff", b"*", b""])
+@pytest.mark.parametrize("late", [False, True])
+def test_what_comes_beside_a_good_answer_is_nobody_elses(bench, more, late):
+    clients = [bench.client(), bench.client()]
+    for rpc, wire in zip(("id1", "id2"), clients, strict=True):
+        bench.send(wire, rpc)
+        bench.say((face.PICK, rpc, "s-1", 500_000))
+    line, good = bench.up(), b"*3\r\n$2\r\nid\r\n$-1\r\n$-1\r\n"
+    if late:
+        line.unread = more
+    line.protocol.dataReceived(good if late else good + more)
+    bench.turn()
+    assert clients[0].taken() == b"$2\r\nid\r\n" and clients[1].taken() == b""
+    assert bench.outcomes() == [("id1", 0, face.OK)]
+    assert line.connected == (not more) and (b"id2" in line.taken()) == (not more)
+
+
+def test_a_connection_with_something_unread_takes_no_further_pick(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    line.protocol.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+    line.taken()
+    line.unread = b"*"
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    assert line.taken() == b"" and not line.connected and b"id2" in bench.up().taken()
+
+
+def test_a_pick_for_what_has_left_the_list_never_ran_and_its_place_is_forgotten(bench):
+    bench.send(bench.client(), "id1")
+    bench.list(("s-2", 2, "active", 0))
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, face.UNSENT)] and list(bench.instances.places) == ["s-2"]
 
 
 @pytest.mark.parametrize(
@@ -591,9 +695,9 @@
             case 6 if lines:
                 wire = dice.choice(lines)
                 if wire.protocol.pick is not None:
-                    wire.protocol.dataReceived(
-                        dice.choice((b"*1\r\n$1\r\n1\r\n", b"-ERR failed\r\n", b"-BUSY\r\n", b"?"))
-                    )
+                    good = b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n"
+                    answers = (good, good + good, b"-ERR failed\r\n", b"-BUSY\r\n", b"?")
+                    wire.protocol.dataReceived(dice.choice(answers))
             case 7 if lines or clients:
                 dice.choice(lines + clients).lose()
             case 8:
