Silent and half-heard clients are closed in time and make room for those that ask

Cause: Clients._make_room freed only what was idle for a whole longest deadline, so silent connections filled the table; nothing bounded a half-sent command.

--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -106,13 +106,14 @@
     methods = {method.name: method for method in start.methods}
     connect_wait = micros(settings.permissions.connect_timeout)
     answer_wait = micros(settings.family_info.answer_wait)
-    # An RPC that is out holds one of each; clients keep more of theirs open than they use.
+    # An RPC that is out holds one of each.
     most = at.limits.sockets - len(os.listdir("/proc/self/fd")) - BESIDE_INSTANCES
     loop = Loop(Choice(start, int(at.seed, 16), now()), reactor, now, log)
     instances = Instances(
-        loop, reactor, most // 4, connect_wait, micros(settings.permissions.idle_close), log
+        loop, reactor, most // 2, connect_wait, micros(settings.permissions.idle_close), log
     )
-    line_most = int(at.limits.memory_mb * (1 << 20)) // 16  # a list beyond this would not be held anyway
+    # A list, or half-read commands, beyond this would not be held anyway.
+    line_most = int(at.limits.memory_mb * (1 << 20)) // 16
     follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
     unix_offset = now() - time.time_ns() // 1000
     discovery = Discovery(
@@ -132,7 +133,8 @@
     discovery.start()
     platform.start()
     longest = micros(max(profile.give_up for profile in settings.profiles))
-    clients = Clients(loop, methods, longest, Descriptors(most - most // 4), log)
+    descriptors = Descriptors(most - most // 2)
+    clients = Clients(loop, reactor, methods, longest, line_most, descriptors, log)
     return Parts(clients, instances, platform, discovery, loop)
 
 
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -1,7 +1,8 @@
 """Clients: the listener, their connections, and the order in which answers go out.
 
-Owns the listening port, every client connection and the answers owed on each. It must never answer an RPC
-by itself: what is no RPC gets its `-ERR` or `+PONG` here, an RPC's answer comes from the loop.
+Owns the listening port, every client connection, the answers owed on each, and the bytes of commands that
+have not wholly come. It must never answer an RPC by itself: what is no RPC gets its `-ERR` or `+PONG` here,
+an RPC's answer comes from the loop. Nobody's silence, noise or haste may cost another client its place.
 """
 
 from __future__ import annotations
@@ -16,10 +17,11 @@
 from linenbridge.net import resp
 from linenbridge.net.instances import Descriptors
 from linenbridge.net.log import Log
-from linenbridge.net.loop import Loop, Taken, Words, write_out
+from linenbridge.net.loop import Loop, Taken, Words, untouched, write_out
 
 LAST_CONNECTIONS = 0.4 + 0.05  # PROTOCOL, Figures and rules: how long after SIGTERM new ones come, in s
-BATCH_STEP = 20  # Twisted's Port, doRead: after a full batch it accepts so many more in the next
+QUIET = 2_000_000  # LATER, The long day: a connection with no open RPC may be closed after 2 s
+BATCH = 21  # Twisted's Port, doRead: after a batch of one it accepts up to twenty more in the next
 COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether they take methods that may run again
 
 
@@ -47,40 +49,53 @@
         self.clients = clients
         self.reader = resp.Reader(commands=True)
         self.owed: deque[Owed] = deque()
-        self.leaving = False
-        self.last = clients.loop.now()
+        self.leaving = self.deaf = self.asked = False
+        self.held, self.since = 0, 0
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
         # A client that does not read its answers is not read from either.
         self.transport.registerProducer(self.transport, True)
-        self.clients.open.add(self)
+        self.clients.waits(self)
 
     def dataReceived(self, data: bytes) -> None:
+        if self.deaf:
+            return
         try:
             for words in self.reader.feed(data):
                 owed = Owed(self)
                 self.owed.append(owed)
-                self.last = self.clients.loop.now()
                 try:
                     self.clients.command(owed, words)
+                    self.asked = True
                 except UnfitError as error:
                     self.clients.log.count("unfit")
                     owed.answer((f"-ERR {error}\r\n".encode(),))
         except resp.MalformedError as error:
-            self.clients.log.malformed("client", error)
-            self.transport.pauseProducing()
-            self.owed.append(owed := Owed(self))
-            self.leaving = True
-            owed.answer((f"-ERR {error}\r\n".encode(),))
+            self.clients.log.rarely("malformed", "client", error=str(error))
+            self.refuse(str(error))
+        self.clients.holds(self, 0 if self.deaf else self.reader.size)
+        if not self.owed:
+            self.clients.waits(self)
+
+    def refuse(self, error: str) -> None:
+        """The one error line, after all that is owed before it, and the close. What still comes is not read:
+        it can't be, or has come too late."""
+        self.deaf = self.leaving = True
+        self.reader = resp.Reader(commands=True)
+        self.transport.pauseProducing()
+        self.owed.append(owed := Owed(self))
+        owed.answer((f"-ERR {error}\r\n".encode(),))
 
     def flush(self) -> None:
         """Answers go out in the order of the commands, each once all before it have gone."""
         while self.owed and self.owed[0].words is not None:
             write_out(self.transport, b"".join(self.owed.popleft().words or ()))
-        if self.leaving and not self.owed:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
+        if not self.owed:
+            self.clients.waits(self)
+            if self.leaving:
+                self.transport.unregisterProducer()
+                self.transport.loseConnection()
 
     def leave(self) -> None:
         """Close as soon as nothing is owed."""
@@ -101,13 +116,21 @@
     """All clients of one gateway."""
 
     def __init__(
-        self, loop: Loop, methods: dict[str, face.Method], longest: int, descriptors: Descriptors, log: Log
-    ) -> None:
-        self.loop, self.longest, self.descriptors, self.log = loop, longest, descriptors, log
+        self, loop: Loop, reactor: Any, methods: dict[str, face.Method], longest: int, held_most: int,
+        descriptors: Descriptors, log: Log,
+    ) -> None:  # fmt: skip
+        self.loop, self.reactor, self.descriptors, self.log = loop, reactor, descriptors, log
         self.methods = {name.encode(): method for name, method in methods.items()}
-        self.open: set[Client] = set()
+        self.longest, self.held, self.held_most = longest, 0, held_most
+        self.open: dict[Client, None] = {}
+        # Connections with no open RPC, each kind in the order in which they came to be so: those that have
+        # asked nothing yet or half of something, those that have asked before, and those told to go.
+        self.silent: dict[Client, None] = {}
+        self.idle: dict[Client, None] = {}
+        self.going: dict[Client, None] = {}
+        self.timer: Any = None
         self.port: Any = None
-        self.paused, self.going = False, 0
+        self.paused = False
         self.stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
@@ -118,41 +141,97 @@
             self.log.count("client.turned_away")
             return None
         self.log.count("client.connected")
-        if not self.paused and self.descriptors.left() + self.going <= self._batch():
+        self.port.numberAccepts = 1
+        if not self.paused and self._short():
             self._make_room()
-        return Client(self)
+        client = Client(self)
+        self.open[client] = None
+        return client
+
+    # ---- connections with no open RPC --------------------------------------------------------------
+
+    def waits(self, client: Client) -> None:
+        """Nothing is owed on it; one that goes on with what it has half sent stands where it stood."""
+        kind = self.going if client.leaving else self.silent
+        if client not in self.open:
+            return
+        if client.asked and not client.reader.size and not client.leaving:
+            kind = self.idle
+        elif client in kind:
+            return
+        self.busy(client)
+        kind[client], client.since = None, self.loop.now()
+        if kind is not self.idle and self.timer is None:
+            self.timer = self.reactor.callLater(QUIET / 1e6, self._sweep)
+
+    def busy(self, client: Client) -> None:
+        for kind in (self.silent, self.idle, self.going):
+            kind.pop(client, None)
+
+    def _sweep(self) -> None:
+        """Who has asked nothing, or half of something, for the whole time is told so and closed; who was told
+        and has not read it is cut off. The others of `idle` go only where room is short."""
+        before = self.loop.now() - QUIET
+        for client in [client for client in self.silent if client.since <= before]:
+            if not client.reader.size and not untouched(client.transport):
+                continue  # After a stall: what it asked has come and is read next.
+            self.log.count("client.silent")
+            client.refuse("nothing was asked in time")
+        for client in [client for client in self.going if client.since <= before]:
+            self.log.count("client.cut_off")
+            client.transport.abortConnection()
+        if self.paused:
+            self._make_room()
+        first = [next(iter(kind)).since for kind in (self.silent, self.going) if kind]
+        self.timer = None  # Not before: what was done above would have set one too.
+        if first or self.paused:
+            due = min(first, default=self.loop.now()) + QUIET - self.loop.now()
+            self.timer = self.reactor.callLater(max(0, due) / 1e6, self._sweep)
+
+    def holds(self, client: Client, size: int) -> None:
+        """Bytes of commands half read, over all clients: whoever holds most goes where they are too many."""
+        self.held, client.held = self.held + size - client.held, size
+        while self.held > self.held_most:
+            most = max(self.open, key=lambda other: other.held)
+            self.held, most.held = self.held - most.held, 0
+            self.log.count("client.too_much")
+            most.refuse("too much of a command without its end")
+
+    def _short(self, more: int = 0) -> bool:
+        return self.descriptors.left() + more <= BATCH
 
     def _make_room(self) -> None:
-        """What is accepted is owed an answer, and a whole batch may come at once. Idle connections go, the
-        oldest first; only where too few are do new ones wait in the system's queue, where time runs on. One
-        used within a deadline is not idle: where this gateway lags, its next RPC may lie unread in it."""
-        before = self.loop.now() - self.longest
-        idle = [c for c in self.open if not c.owed and not c.leaving and c.last < before]
-        for client in sorted(idle, key=lambda client: client.last)[: self._batch()]:
-            self.log.count("client.spared")
-            self.going += 1
-            client.leave()
-        if self.descriptors.left() + self.going <= self._batch():
-            self.paused = True
-            self.port.stopReading()
-            self.log.event("accept.paused", clients=len(self.open))
-        self.port.numberAccepts = 1
-
-    def _batch(self) -> int:
-        return self.port.numberAccepts + BATCH_STEP
+        """What is accepted is owed an answer, and a whole batch may come at once. Silent connections go, then
+        those idle for the time, the oldest of each first and none with something unread; only where these are
+        too few do new ones wait in the system's queue, where time runs on."""
+        before = self.loop.now() - QUIET
+        free = [*self.silent, *(client for client in self.idle if client.since <= before)]
+        for client in free:
+            if not self._short(len(self.going)):
+                break
+            if untouched(client.transport):
+                self.log.count("client.spared")
+                # To one that has asked before an error line would pass as the answer to what it asks next.
+                client.leave() if client in self.idle else client.refuse("room is short, nothing was asked")
+        if self.paused != self._short():
+            self.paused = not self.paused
+            (self.port.stopReading if self.paused else self.port.startReading)()
+            self.log.rarely("accept", "paused" if self.paused else "resumed", clients=len(self.open))
+        if self.paused and self.timer is None:
+            self.timer = self.reactor.callLater(QUIET / 1e6, self._sweep)
 
     def closed(self, client: Client) -> None:
-        self.open.discard(client)
+        self.open.pop(client, None)
+        self.busy(client)
+        self.holds(client, 0)
         self.descriptors.give_back()
-        self.going -= client.leaving and self.going > 0
-        if self.paused and self.port is not None and self.descriptors.left() > self._batch():
-            self.paused = False
-            self.port.startReading()
-            self.log.event("accept.resumed", clients=len(self.open))
+        if self.paused and self.port is not None:
+            self._make_room()
         self._last()
 
     def command(self, owed: Owed, words: Any) -> None:
         """One command: an RPC goes to the loop, all else is answered here."""
+        self.busy(owed.client)
         name = bytes(words[0]).upper() if words else b""
         again = COMMANDS.get(name)
         if again is None:
@@ -178,11 +257,15 @@
             raise UnfitError("the field d is missing or no number")
         if rpc in self.loop.open or not rpc:
             raise UnfitError("this id is in use" if rpc else "the id is empty")
+        if work and not (work.isdigit() and len(work) <= resp.DIGITS_MOST):
+            raise UnfitError("the field h is no number")
         passed = b"".join([field + b"," for field in fields if field[:2] != b"d="])
         head = (b"SVC.QUERY" if again else b"SVC.SUBMIT", key, rpc.encode("latin-1"))
         owed.taken = Taken(rpc, method.name, (*head, *map(bytes, words[4:])), passed, owed.answer)
-        hint = int(work) if work.isdigit() and len(work) <= resp.DIGITS_MOST else None
-        self.loop.take(owed.taken, int(wait) * 1000, hint, tenant.decode("latin-1"), key.decode("latin-1"))
+        # Nobody waits longer than the settings say; a longer time would only keep what is forgotten open.
+        ttl = min(int(wait) * 1000, self.longest)
+        hint = int(work) if work else None
+        self.loop.take(owed.taken, ttl, hint, tenant.decode("latin-1"), key.decode("latin-1"))
 
     # ---- the stop --------------------------------------------------------------------------------
 
@@ -201,5 +284,7 @@
 
     def _last(self) -> None:
         if self.stopped is not None and self.port is None and not self.open:
+            if self.timer is not None:
+                self.timer.cancel()
             stopped, self.stopped = self.stopped, lambda: None
             stopped()
--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -44,7 +44,7 @@
                 if piece.last:
                     self.transport.abortConnection()
         except MalformedError as error:
-            self.follow.log.malformed(self.follow.name, error)
+            self.follow.log.rarely("malformed", self.follow.name, error=str(error))
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Any) -> None:
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -92,7 +92,9 @@
             if self.pick is None and self.reader.size:
                 raise resp.MalformedError("more than the answer")
         except resp.MalformedError as error:
-            self.instances.log.malformed("instance", error, instance=self.place.entry.instance)
+            self.instances.log.rarely(
+                "malformed", "instance", error=str(error), instance=self.place.entry.instance
+            )
             self.instances.spoilt(self)
             return
         if self.pick is None:
--- a/linenbridge/net/log.py
+++ b/linenbridge/net/log.py
@@ -36,13 +36,13 @@
         trace = "".join(traceback.format_exception(error))
         self.event("failed", where=where, error=f"{type(error).__name__}: {error}", trace=trace)
 
-    def malformed(self, of: str, error: Exception, **fields: object) -> None:
-        """What a peer sent that cannot be read. Each is counted; a line is written for the first and whenever
-        their number has doubled, so that a flood of them fills no disk."""
-        self.count("malformed", of)
-        number = self.counts["malformed", of]
+    def rarely(self, name: str, of: str, **fields: object) -> None:
+        """What a peer can bring about as often as it likes: each is counted, a line written for the first and
+        whenever their number has doubled, so that a flood of them costs no disk and little time."""
+        self.count(name, of)
+        number = self.counts[name, of]
         if not number & (number - 1):
-            self.event("malformed", of=of, number=number, error=str(error), **fields)
+            self.event(name, of=of, number=number, **fields)
 
     def count(self, *names: str) -> None:
         self.counts[names] += 1
--- a/linenbridge/net/platform.py
+++ b/linenbridge/net/platform.py
@@ -182,14 +182,14 @@
                 return
             msgspec.json.decode(body, type=Refusal)
         except msgspec.DecodeError as error:
-            self.log.malformed("vote", error)
+            self.log.rarely("malformed", "vote", error=str(error))
             self._uncounted("vote.unanswered", False)  # It may have counted.
             return
         self._uncounted("vote.moot" if status == MOOT else f"vote.status_{status}", status == MOOT)
 
     def _unanswered(self, failure: Any) -> None:
         if failure.check(MalformedError):
-            self.log.malformed("vote", failure.value)
+            self.log.rarely("malformed", "vote", error=str(failure.value))
         self._uncounted("vote.unanswered", False)
 
     def _uncounted(self, what: str, moot: bool) -> None:
--- a/linenbridge/net/resp.py
+++ b/linenbridge/net/resp.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 VALUE_MOST = 64 * 1024  # PROTOCOL, first paragraph: a value holds 64 KiB at most
-WORDS_MOST = 16  # well above the five words of its longest command and the three of an answer
+WORDS_MOST = 5  # PROTOCOL: the words of its longest command, a submit with a body; an answer has three
 DIGITS_MOST = 9
 END = b"\r\n"
 ARRAY, BULK = b"*$"
@@ -86,6 +86,8 @@
             if self.commands and buffer[at : at + 1] not in (b"", b"$"):
                 raise MalformedError("a command is an array of bulk strings")
             word, at = self._single(buffer, view, at)
+            if self.commands and word is None:
+                raise MalformedError("a word of a command is null")
             words.append(word)
         return words, at
 
