Silence is judged by what is in flight; restarted gateways hear their own outcomes; bounded tables

Cause: the mean gap was learned with several RPCs in flight, the silence of a single one after a strike judged by it (choice._doubt, Fleet.answered). Cause: until its 20th RPC it takes itself for a small gateway, one tally then closes its ears to its own outcomes (_note_outcome); n0 voted 'on' at once with none (_wanted counted the wait from the instances' start, not its own).

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -35,7 +35,7 @@
 # Others' counts, for a gateway with too few outcomes of its own: tallies of late, messages to some peers.
 TALLY_STALE, TELL_EVERY, PEERS = 4, 1 * SECOND, 8
 
-# Health by accrual: silence in units of the mean gap, in nats; a strike keeps away for a doubling time.
+# Health by accrual: silence in mean gaps for what is in flight, in nats; a strike keeps away, ever longer.
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
@@ -73,7 +73,7 @@
         self.sweep_at, self.watch_wait = now, LIST_RETRY
         self.work, self.work_taken, self.fleet_size, self.listed_at = 0.0, 0.0, 0.0, now
         self.near: dict[int, list[int]] = {}
-        self.lately, self.tenants = DecayingRate(LATELY), Parts(TENANT_MEMORY)
+        self.lately, self.tenants = DecayingRate(LATELY), Parts(TENANT_MEMORY, start.tenant_shares)
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.shed, self.streak, self.utilities = 0.0, 0, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
@@ -98,7 +98,7 @@
     # ---- inputs: they only update what is known --------------------------------------------------
 
     def on_list(self, now: int, entries: list[ListEntry], *, whole: bool, answers: bool) -> None:
-        self.fleet.update(entries, whole, GAP_START, LIMIT_START)
+        self.fleet.update(entries, whole, GAP_START, LIMIT_START, self.rpcs.instances())
         self.watch_wait = LIST_RETRY if answers else self.watch_wait
         ready, self.near = sum(self.fleet.sizes), self.fleet.near
         keep = exp((self.listed_at - now) / FLEET_MEMORY) if self.fleet_size else 0.0
@@ -227,7 +227,7 @@
             counts = Counts(1, int(outcome != OK), int(warm), took * warm)
             self.told[key] = self.told.get(key, Counts()).plus(counts)
             self.news = self.news or pick.build == self.judged
-            if now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
+            if not self._few(now) or now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
                 self._hear(*key, counts, pick.instance)
         if outcome == OK:
             binds = self.plan.forward_only and pick.build >= self.build and pick.build not in self.withdrawn
@@ -554,11 +554,11 @@
                 self.notes.append(f"shun {fleet.ids[i]} gap {fleet.gap[i] / MS:.0f} ms out {fleet.out[i]}")
 
     def _doubt(self, now: int) -> Iterator[tuple]:
-        """Accrual: an instance whose silence is out of keeping with its gaps is shunned, and what it holds
-        that may be repeated goes elsewhere; whether it died, hangs, crawls or is cut off does not matter."""
+        """Accrual: an instance whose silence is out of keeping with its gaps, for what is in flight, is
+        shunned, and what it holds that may be repeated goes elsewhere, be it dead, hung, slow or cut off."""
         fleet, doubted = self.fleet, set()
         for i, out in enumerate(fleet.out):
-            beyond = SUSPECT * max(fleet.gap[i], SWEEP)
+            beyond = SUSPECT * max(fleet.gap[i] / max(1, out), SWEEP)
             if out and now >= fleet.shun_until[i] and fleet.silence(i, now) > beyond:
                 self._strike(now, i)
                 doubted.add(i)
@@ -591,10 +591,10 @@
         starts = [self.fleet.started[i] for i in self.near.get(self.judged, ())]
         if phase == RELEASED or not starts:
             return NO_VOTE
-        # A sum on its way to the alarm is no ground for 'on', whatever the outcomes before it.
+        # A sum on its way to the alarm is no ground for 'on', nor is what this gateway wasn't there to see.
         highest = max(self.sums.values(), default=0.0)
         enough = self.outcomes >= ON_OUTCOMES and highest <= ON_MOST * LEAST_THRESHOLD
-        if enough or (now >= max(starts) + ON_WAIT and highest <= 0.0):
+        if enough or (now >= max(*starts, self.born) + ON_WAIT and highest <= 0.0):
             return NO_VOTE if self.plan.by_timer else ON
         return HOLD if self.plan.by_timer else NO_VOTE
 
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -201,11 +201,12 @@
         return self.descriptors.left() + more <= BATCH
 
     def _make_room(self) -> None:
-        """What is accepted is owed an answer, and a whole batch may come at once. Silent connections go, then
-        those idle for the time, the oldest of each first and none with something unread; only where these are
-        too few do new ones wait in the system's queue, where time runs on."""
+        """What is accepted is owed an answer, and a whole batch may come at once. Those idle for the time
+        go, then silent ones, then those slow with a command, the oldest of each first and none with something
+        unread; only where these are too few do new ones wait in the system's queue, where time runs on."""
         before = self.loop.now() - QUIET
-        free = [*self.silent, *(client for client in self.idle if client.since <= before)]
+        free = [client for client in self.idle if client.since <= before]
+        free += sorted(self.silent, key=lambda client: client.reader.size > 0)
         for client in free:
             if not self._short(len(self.going)):
                 break
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from math import exp
 from typing import NamedTuple
 
@@ -51,19 +52,18 @@
 
 
 class Parts:
-    """What part of the arrivals of late each name had."""
+    """What part of the arrivals of late each name had; names not given at start share one row."""
 
-    def __init__(self, memory: int) -> None:
-        self.all = DecayingRate(memory)
-        self.rates: dict[str, DecayingRate] = {}
+    def __init__(self, memory: int, names: Iterable[str]) -> None:
+        self.all, self.others = DecayingRate(memory), DecayingRate(memory)
+        self.rates = {name: DecayingRate(memory) for name in names}
 
     def part(self, now: int, name: str) -> float:
         """Count one arrival of that name; its part among all, itself included."""
-        if name not in self.rates:
-            self.rates[name] = DecayingRate(self.all.memory)
-        for rate in (self.all, self.rates[name]):
+        named = self.rates.get(name, self.others)
+        for rate in (self.all, named):
             rate.add(now, 1.0)
-        return self.rates[name].amount / self.all.amount
+        return named.amount / self.all.amount
 
 
 class BuildRecord:
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -23,7 +23,7 @@
 
 
 class Fleet:
-    """Per-instance figures; an instance keeps its index for the life of the gateway. `near` lists the ready
+    """Per-instance figures; an instance keeps its index while it is listed or in use. `near` lists the ready
     ones of a build in an order of this gateway's own, the same after a restart, whatever else is listed."""
 
     def __init__(self, number: int) -> None:
@@ -56,14 +56,20 @@
         self.sums: list[float] = []
         self.near: dict[int, list[int]] = {}
 
-    def update(self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float) -> None:
-        """Take in a list; an instance that a whole list leaves out is gone."""
+    def update(
+        self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float, used: set[int]
+    ) -> None:
+        """Take in a list; an instance that a whole list leaves out is gone. A new one takes the index of one
+        that is gone, unless that is among those `used`, so that no run of new ids makes the arrays grow."""
         named = set()
+        gone = (i for i in range(len(self.state)) if self.state[i] == GONE and i not in used)
         for entry in entries:
             named.add(entry.instance)
             i = self.index.get(entry.instance)
             if i is None:
-                i = self._add(entry.instance)
+                if entry.state == GONE:
+                    continue
+                i = self._add(entry.instance, next(gone, None))
                 self._reset(i, entry, gap, limit)
             elif entry.state == READY and (entry.started, entry.build) != (self.started[i], self.build[i]):
                 self._reset(i, entry, gap, limit)
@@ -80,19 +86,21 @@
         for i in sorted(self.ready, key=self.rank.__getitem__):
             self.near[self.build[i]].append(i)
 
-    def _add(self, instance: Id) -> int:
-        i = self.index[instance] = len(self.ids)
-        self.rank.append(crc32(f"{self.number}/{instance}".encode()))
-        self.ids.append(instance)
+    def _add(self, instance: Id, free: int | None) -> int:
+        i = len(self.ids) if free is None else free
+        if free is not None:
+            del self.index[self.ids[i]]
+        self.index[instance] = i
         arrays: list[tuple[list, object]] = [
             (self.build, 0), (self.zone, ""), (self.cell, 0), (self.state, GONE), (self.size, 1.0),
             (self.started, 0), (self.out, 0), (self.busy_since, 0), (self.last_reply, 0), (self.gap, 0.0),
             (self.failing, 0.0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
             (self.shun_until, 0), (self.others, 0.0), (self.reported_at, 0), (self.cold_tokens, 0.0),
-            (self.cold_mark, -1.0),
+            (self.cold_mark, -1.0), (self.rank, crc32(f"{self.number}/{instance}".encode())),
+            (self.ids, instance),
         ]  # fmt: skip
         for array, empty in arrays:
-            array.append(empty)
+            array[i : i + 1] = [empty]
         return i
 
     def _reset(self, i: int, entry: ListEntry, gap: float, limit: float) -> None:
@@ -112,7 +120,9 @@
         return now - max(self.last_reply[i], self.busy_since[i])
 
     def answered(self, i: int, now: int, weight: float) -> None:
-        self.gap[i] += (self.silence(i, now) - self.gap[i]) * weight
+        """The gap is kept for one RPC in flight: with several, answers come that much closer together, and a
+        single one after a strike must not look silent to the pace of many."""
+        self.gap[i] += (self.silence(i, now) * (self.out[i] + 1) - self.gap[i]) * weight
         self.last_reply[i], self.strikes[i], self.shun_until[i] = now, 0, 0
 
     def reported(self, i: int, now: int, in_flight: float, weight: float) -> None:
--- a/linenbridge/state/rpcs.py
+++ b/linenbridge/state/rpcs.py
@@ -61,6 +61,10 @@
         if not rpc.out():
             self.pop(rpc.id, None)
 
+    def instances(self) -> set[int]:
+        """Where any of them has been: their indices must go on meaning the same."""
+        return {pick.instance for rpc in self.values() for pick in rpc.picks}
+
     def next_due(self) -> int | None:
         """When the first that is still open must have had its answer."""
         while self.due and ((rpc := self.get(self.due[0][1])) is None or rpc.ended):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -146,6 +146,61 @@
     assert (0, "slow") in gateway.alarms
 
 
+def test_a_gateway_that_has_just_started_waits_before_on_and_hears_its_own_outcomes():
+    """After a restart: the build's instances are old, this gateway has seen nothing of them yet."""
+    now = 100 * SECOND
+    gateway = Choice(startup(tally_period=2 * SECOND), seed=7, now=now)
+    entries = [entry(1), entry(2), entry(3), entry(4, build=2, started=now - 20 * SECOND)]
+    gateway.on_list(now, entries, whole=True, answers=True)
+    gateway.on_stage(now, 2, 1, face.ON_TRIAL, 1.0, vote=False, valid=True)
+    gateway.on_tally(now, 2, "look", 3, 0, MS, now)
+    assert not [d for d in pull(gateway, now + 2 * SECOND) if d[0] == face.VOTE]
+    heard = gateway.outcomes
+    trials = sum(outcome(gateway, now + n * 10 * MS, f"r{n}", face.OK) == 2 for n in range(200))
+    assert gateway.outcomes > heard + trials // 2 > heard
+
+
+def test_silence_is_judged_by_how_much_is_in_flight():
+    """In a slow hour every instance with one heavy RPC would else look dead to the pace of four."""
+    gateway, now = running(), 0
+    fleet, i = gateway.fleet, gateway.fleet.index[1]
+    for _ in range(4):
+        fleet.sent(i, now)
+    for _ in range(100):
+        now += 40 * MS
+        fleet.out[i] -= 1
+        fleet.answered(i, now, 0.1)
+        fleet.sent(i, now)
+    fleet.out[i] = 1
+    list(gateway._doubt(now + 600 * MS))
+    assert not fleet.strikes[i]
+    list(gateway._doubt(now + 1400 * MS))
+    assert fleet.strikes[i] == 1
+    fleet.strikes[i], fleet.shun_until[i], fleet.out[i] = 0, 0, 4
+    list(gateway._doubt(now + 600 * MS))
+    assert fleet.strikes[i] == 1
+
+
+def test_ids_without_end_and_tenants_without_end_make_no_table_grow():
+    """Instances come and go under new ids, with RPCs open on them; an index in use is never given away."""
+    gateway, now = running(), 0
+    for n in range(300):
+        now += 20 * MS
+        gateway.on_rpc(now, f"r{n}", "look", SECOND, None, f"tenant{n}", None)
+        picks = [d for d in pull(gateway, now) if d[0] == face.PICK]
+        where = {i: gateway.fleet.ids[i] for i in gateway.rpcs.instances()}
+        entries = [entry(1000 + n % 7), entry(1), entry(2), entry(2000 + n, build=2)]
+        gateway.on_list(now, [*entries, entry(9000 + n, state=face.GONE)], whole=True, answers=True)
+        assert all(gateway.fleet.ids[i] == name for i, name in where.items())
+        for pick in picks:
+            gateway.on_reply(now, pick[1], 0, face.OK, True, MS, {})
+        fleet = gateway.fleet
+        assert all(fleet.ids[i] == name for name, i in fleet.index.items())
+        assert {fleet.ids[i] for i in fleet.ready} == {row.instance for row in entries}
+    assert len(fleet.ids) <= 14 and len(fleet.out) == len(fleet.rank) == len(fleet.ids) and not any(fleet.out)
+    assert not gateway.tenants.rates
+
+
 def test_no_on_while_a_sum_nears_its_alarm():
     gateway = running()
     gateway.outcomes = ON_OUTCOMES
