--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -39,7 +39,7 @@
 SUSPECT, GAP_START, GAP_WEIGHT = 8.0, 400 * MS, 0.1
 SHUN, SHUN_MOST, LOG_STRIKES = 500 * MS, 4 * SECOND, 3
 FAIL_WEIGHT, FAIL_MEMORY, FAIL_LEAST, FAIL_MOST = 0.15, 5 * SECOND, 0.05, 0.5
-REPORT_MEMORY = 1 * SECOND
+REPORT_MEMORY, MISSED, AGAIN_SHARE, AGAIN_MOST = 1 * SECOND, 4.0, 0.1, 5.0
 
 # How much may be out at an instance: additive increase, multiplicative decrease around the soft deadline.
 LIMIT_START, LIMIT_LEAST, LIMIT_MOST, LIMIT_USED = 3.0, 1.0, 64.0, 0.7
@@ -59,8 +59,6 @@
 
 
 class Choice:
-    """The decisions of one gateway."""
-
     def __init__(self, start: Startup, seed: int, now: int) -> None:
         self.start, self.plan, self.allow, self.methods = start, start.plan, start.allowances, start.methods
         self.row = {method.name: m for m, method in enumerate(start.methods)}
@@ -77,6 +75,7 @@
         self.took = [method.soft_deadline * TOOK_START for method in self.methods]
         self.shed, self.streak, self.utilities = 0.0, 0, deque([0.0], maxlen=30)
         self.strictest = min(method.soft_deadline for method in self.methods)
+        self.again = CapBucket(AGAIN_MOST, 0, AGAIN_SHARE)  # What may go out again on a missed answer alone.
         # The platform's news, the cap buckets by (build, row), and the keys that the new build has answered.
         self.build, self.stage, self.phase, self.cap, self.lowest = -1, 0, WITHDRAWN, 0.0, -1
         self.taken = [0] * (len(self.methods) + 1)
@@ -262,7 +261,6 @@
         self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY)).hear(counts)
 
     def _earlier(self, m: int) -> BuildRecord | None:
-        """What is known of the build before the one judged."""
         known = [b for b, row in self.records if row == m and b < self.judged and b not in self.withdrawn]
         return self.records[max(known), m] if known else None
 
@@ -450,8 +448,7 @@
     def _cold_room(self, now: int, i: int) -> bool:
         """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
         size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
-        Earned by RPC placed, not by time: a rate from few arrivals runs high, and what is shed loads nobody.
-        Retry storms swell even that: less the more is shed. The fleet counts as of late: half may drain."""
+        Earned by RPC placed, not by time, less the more is shed; the fleet counts as of late."""
         warmth, fleet = self._warmth(i, now), self.fleet
         if warmth >= 1.0:
             return True
@@ -555,21 +552,23 @@
 
     def _doubt(self, now: int) -> Iterator[tuple]:
         """Accrual: an instance whose silence is out of keeping with its gaps, for what is in flight, is
-        shunned, and what it holds that may be repeated goes elsewhere, be it dead, hung, slow or cut off."""
-        fleet, doubted = self.fleet, set()
+        shunned. What it holds that may be repeated goes elsewhere; so does one missed among its answers."""
+        fleet, doubted, budget = self.fleet, set(), self.again.settle(self.taken[-1])
         for i, out in enumerate(fleet.out):
             beyond = SUSPECT * max(fleet.gap[i] / max(1, out), SWEEP)
             if out and now >= fleet.shun_until[i] and fleet.silence(i, now) > beyond:
                 self._strike(now, i)
                 doubted.add(i)
-        for rpc in list(self.rpcs.values()) if doubted else ():
-            if rpc.ended or rpc.streaming or rpc.out() != 1 or now > rpc.soft_deadline:
+        for rpc in list(self.rpcs.values()) if doubted or budget >= 1.0 else ():
+            if rpc.ended or rpc.streaming or now > rpc.soft_deadline or rpc.out() != 1:
                 continue
             number, pick = next((n, pick) for n, pick in enumerate(rpc.picks) if pick.outcome is None)
-            method = self.methods[rpc.method]
-            spent = pick.cancelled or len(rpc.picks) >= self.allow.max_picks
-            if spent or method.effect == NON_IDEMPOTENT or pick.instance not in doubted:
+            usual = max(SWEEP, self.took[rpc.method] * max(1.0, rpc.cost))
+            missed = self.again.tokens >= 1.0 and fleet.last_reply[pick.instance] > pick.sent + MISSED * usual
+            once = self.methods[rpc.method].effect == NON_IDEMPOTENT or len(rpc.picks) >= self.allow.max_picks
+            if once or pick.cancelled or not (missed or pick.instance in doubted):
                 continue
+            self.again.tokens -= missed
             if self.allow.second_copies:
                 target = self._target(now, rpc) if self._may_pick(now, rpc) else None
                 if target is not None and target != pick.instance:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -181,6 +181,21 @@
     assert fleet.strikes[i] == 1
 
 
+def test_an_answer_missed_among_others_is_asked_for_elsewhere_within_the_budget():
+    """An instance that goes on answering has lost one: to wait for its silence would take until the deadline."""
+    gateway, now, again = running(), 0, 0
+    for n in range(400):
+        now += 10 * MS
+        gateway.on_rpc(now, f"r{n}", ("look", "charge")[n % 2], 4 * SECOND, None, "", None)
+        for pick in [d for d in pull(gateway, now) if d[0] == face.PICK]:
+            again += pick[1] != f"r{n}"
+            assert pick[1] == f"r{n}" or int(pick[1][1:]) % 2 == 0  # Never one that must not run twice.
+            if n < 200 or n % 20 or pick[1] != f"r{n}":
+                number = len(gateway.rpcs[pick[1]].picks) - 1
+                gateway.on_reply(now, pick[1], number, face.OK, True, MS, {})
+    assert again == 10 - 1
+
+
 def test_ids_without_end_and_tenants_without_end_make_no_table_grow():
     """Instances come and go under new ids, with RPCs open on them; an index in use is never given away."""
     gateway, now = running(), 0
