--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,6 +20,7 @@
 
 from linenbridge import __main__ as program
 from linenbridge import interface as face
+from linenbridge.choice import Choice
 from linenbridge.net import resp
 from linenbridge.net.clients import LAST_CONNECTIONS, QUIET, Client, Clients
 from linenbridge.net.discovery import Discovery
@@ -104,8 +105,8 @@
 class Bench:
     """One gateway's parts around a scripted module."""
 
-    def __init__(self, descriptors: int = 50) -> None:
-        self.reactor, self.module = MemoryReactorClock(), Scripted()
+    def __init__(self, descriptors: int = 50, module: Choice | None = None) -> None:
+        self.reactor, self.module = MemoryReactorClock(), module or Scripted()
         self.lines = io.BytesIO()
         self.log = Log(self.lines)
         self.now = lambda: int(self.reactor.seconds() * 1e6)
@@ -740,6 +741,48 @@
         run.stderr.close()
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_the_modules_picture_of_what_is_open_and_out_is_what_is_on_the_sockets(seed):
+    """The module itself, before stand-ins that answer, spoil, break, drain and come back started anew."""
+    dice, module = Random(seed), Choice(startup(), seed, 0)
+    bench, lines, starts, wires = Bench(80, module), [], [0] * 5, [None] * 20
+    bench.list(*((f"s-{i}", i + 1, "active", 0) for i in range(5)))
+    for n in range(400):
+        at = dice.randrange(20)
+        wire = wires[at] = wires[at] if wires[at] and wires[at].connected else bench.client()
+        bench.send(wire, f"r{n}")
+        while bench.dialled < len(bench.reactor.tcpClients):
+            if dice.random() < 0.1:
+                bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            else:
+                lines.append(bench.up())
+        for line in [line for line in lines if line.connected and line.protocol.pick is not None]:
+            match dice.randrange(12):
+                case 0:
+                    line.lose(ConnectionLost())
+                case 1:
+                    line.protocol.dataReceived(dice.choice(SPOILT))
+                case 2 | 3 | 4 | 5:
+                    report = dice.choice((b"$-1\r\n", b"$5\r\nrif=3\r\n", b"$5\r\nrif=?\r\n"))
+                    line.protocol.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n" + report)
+                case 6:
+                    line.protocol.dataReceived(b"-BUSY\r\n")
+        if dice.random() < 0.1:
+            i = dice.randrange(5)
+            starts[i] += dice.choice((0, 5))
+            state = dice.choice(("active", "leaving", "left"))
+            bench.list((f"s-{i}", i + 1, state, starts[i]), whole=False)
+        if dice.random() < 0.3:
+            wire.lose()
+        bench.turn(dice.choice((0, 0.01, 0.08)))
+        assert set(module.rpcs) == set(bench.loop.open)
+        out = [pick.place.entry.instance for pick in bench.instances.picks.values()]
+        assert {name: out.count(name) for name in module.fleet.index} == {
+            name: module.fleet.out[i] for name, i in module.fleet.index.items()
+        }
+    assert module.fleet.others_mean > 0.0 and ("failed",) not in bench.log.counts
+
+
 @pytest.mark.parametrize("seed", range(25))
 def test_whatever_breaks_nothing_is_answered_twice_lost_or_left_open(seed):
     dice, bench = Random(seed), Bench(descriptors=12)
