A crowd that asks once and stays gives way at once; nothing is read after the last answer

So they never got in: 162 connections held by clients that ask once and stay, each freed after 2 s only (Clients._make_room). Ruled out: instances (ok answers alone), CPU (0.38 of a core), the module (no pushback counted). Change: where room is short those that have just had their answer go too, after idle and silent ones; while accepting is paused, as soon as they have it. What crosses the close is left unread, so that its client sends it once more: before, leave() read on until the close was done and would have lost it. Tests fail without either.

--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -92,8 +92,12 @@
         while self.owed and self.owed[0].words is not None:
             write_out(self.transport, b"".join(self.owed.popleft().words or ()))
         if not self.owed:
+            leaving = self.leaving  # It may be told to go by its own turn to wait.
             self.clients.waits(self)
-            if self.leaving:
+            if leaving:
+                # What comes before the close is done was not read: the client sends it once more elsewhere.
+                self.deaf = True
+                self.transport.pauseProducing()
                 self.transport.unregisterProducer()
                 self.transport.loseConnection()
 
@@ -161,7 +165,9 @@
             return
         self.busy(client)
         kind[client], client.since = None, self.loop.now()
-        if kind is not self.idle and self.timer is None:
+        if kind is self.idle and self.paused:
+            self._make_room()
+        elif kind is not self.idle and self.timer is None:
             self.timer = self.reactor.callLater(QUIET / 1e6, self._sweep)
 
     def busy(self, client: Client) -> None:
@@ -202,11 +208,15 @@
 
     def _make_room(self) -> None:
         """What is accepted is owed an answer, and a whole batch may come at once. Those idle for the time
-        go, then silent ones, then those slow with a command, the oldest of each first and none with something
-        unread; only where these are too few do new ones wait in the system's queue, where time runs on."""
+        go, then silent ones, those that have just had their answer, and those slow with a command, the oldest
+        of each first and none with something unread: PROTOCOL lets a gateway close between RPCs, and a crowd
+        of clients that ask once and stay would else keep all others out. Where these are too few, new ones
+        wait in the system's queue, where time runs on."""
         before = self.loop.now() - QUIET
         free = [client for client in self.idle if client.since <= before]
-        free += sorted(self.silent, key=lambda client: client.reader.size > 0)
+        free += [client for client in self.silent if not client.reader.size]
+        free += [client for client in self.idle if client.since > before]
+        free += [client for client in self.silent if client.reader.size]
         for client in free:
             if not self._short(len(self.going)):
                 break
