--- a/linenbridge/__main__.py
+++ b/linenbridge/__main__.py
@@ -136,7 +136,8 @@
     platform.start()
     longest = micros(max(profile.give_up for profile in settings.profiles))
     descriptors = Descriptors(most - most // 2)
-    clients = Clients(loop, reactor, methods, longest, line_most, descriptors, log)
+    pool = at.limits.sockets // 3  # LATER, Score: what clients hold of the descriptors for RPCs, at most
+    clients = Clients(loop, reactor, methods, longest, line_most, descriptors, pool, log)
     return Parts(clients, instances, platform, discovery, loop)
 
 
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -121,9 +121,10 @@
 
     def __init__(
         self, loop: Loop, reactor: Any, methods: dict[str, face.Method], longest: int, held_most: int,
-        descriptors: Descriptors, log: Log,
+        descriptors: Descriptors, pool: int, log: Log,
     ) -> None:  # fmt: skip
         self.loop, self.reactor, self.descriptors, self.log = loop, reactor, descriptors, log
+        self.pool = pool  # Its usual clients hold so many connections at most: an idle one keeps an RPC out.
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.longest, self.held, self.held_most = longest, 0, held_most
         self.open: dict[Client, None] = {}
@@ -146,7 +147,7 @@
             return None
         self.log.count("client.connected")
         self.port.numberAccepts = 1
-        if not self.paused and self._short():
+        if not self.paused and self._crowded():
             self._make_room()
         client = Client(self)
         self.open[client] = None
@@ -206,6 +207,9 @@
     def _short(self, more: int = 0) -> bool:
         return self.descriptors.left() + more <= BATCH
 
+    def _crowded(self) -> bool:
+        return len(self.open) - len(self.going) >= self.pool - BATCH or self._short(len(self.going))
+
     def _make_room(self) -> None:
         """What is accepted is owed an answer, and a whole batch may come at once. Those idle for the time
         go, then silent ones, those that have just had their answer, and those slow with a command, the oldest
@@ -218,7 +222,7 @@
         free += [client for client in self.idle if client.since > before]
         free += [client for client in self.silent if client.reader.size]
         for client in free:
-            if not self._short(len(self.going)):
+            if not self._crowded():
                 break
             if untouched(client.transport):
                 self.log.count("client.spared")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,7 +22,7 @@
 from linenbridge import interface as face
 from linenbridge.choice import Choice
 from linenbridge.net import resp
-from linenbridge.net.clients import LAST_CONNECTIONS, QUIET, Client, Clients
+from linenbridge.net.clients import BATCH, LAST_CONNECTIONS, QUIET, Client, Clients
 from linenbridge.net.discovery import Discovery
 from linenbridge.net.follow import Follow
 from linenbridge.net.instances import Descriptors, Instances, load_report
@@ -105,7 +105,7 @@
 class Bench:
     """One gateway's parts around a scripted module."""
 
-    def __init__(self, descriptors: int = 50, module: Choice | None = None) -> None:
+    def __init__(self, descriptors: int = 50, module: Choice | None = None, pool: int = 99) -> None:
         self.reactor, self.module = MemoryReactorClock(), module or Scripted()
         self.lines = io.BytesIO()
         self.log = Log(self.lines)
@@ -113,7 +113,7 @@
         self.loop = Loop(self.module, self.reactor, self.now, self.log)
         self.instances = Instances(self.loop, self.reactor, descriptors, 200_000, 8_000_000, self.log)
         self.clients = Clients(
-            self.loop, self.reactor, METHODS, 900_000, 100_000, Descriptors(descriptors), self.log
+            self.loop, self.reactor, METHODS, 900_000, 100_000, Descriptors(descriptors), pool, self.log
         )
         follow = partial(
             Follow,
@@ -387,6 +387,19 @@
     assert bench.clients.held == sum(client.reader.size for client in bench.clients.open) <= 100_000
 
 
+def test_clients_that_ask_once_and_stay_leave_room_in_the_pool_for_those_that_come():
+    bench = Bench(descriptors=90, pool=30)
+    bench.list(("s-1", 1, "active", 0))
+    busy = bench.client()
+    bench.send(busy, "id1")
+    for n in range(60):
+        wire = bench.client()
+        bench.send(wire, f"once{n}")
+        bench.say((face.ABORT, f"once{n}"))
+        assert wire.taken() == b"-ERR aborted\r\n" and len(bench.clients.open) <= 30 - BATCH
+    assert busy.connected and not bench.clients.paused
+
+
 def test_a_command_that_crosses_the_close_of_an_idle_connection_is_not_taken(bench):
     """It would be lost with the connection; unread, its client sends it once more."""
     client = bench.client()
