--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -254,8 +254,8 @@
                 up, down = log((p0 + step) / p0), log((1 - p0 - step) / (1 - p0))
                 z = counts.failed * up + (counts.picks - counts.failed) * down
                 self._sum((m, bit), min(z, most), (p0 + step) * up + (1 - p0 - step) * down, i, p0)
-            if counts.served and earlier and earlier.mean and self._comparable(build):
-                ratio = min(counts.time / counts.served / earlier.mean, SLOW_CLIP)
+            if counts.served and earlier and earlier.outcomes >= P0_PRIOR and self._comparable(build):
+                ratio = min(counts.time / counts.served / (earlier.mean or inf), SLOW_CLIP)
                 z = counts.served * (ratio - 1 - SLOW_STEP / 2) * SLOW_STEP / SLOW_SPREAD
                 self._sum((m, "slow"), min(z, most), SLOW_DIVERGENCE, i, ratio)
         self.records.setdefault((build, m), BuildRecord(RECORD_MEMORY)).hear(counts)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -236,6 +236,18 @@
     assert not gateway.tenants.rates
 
 
+def test_a_handful_of_the_earlier_builds_times_makes_no_build_slow():
+    """After a restart late in a rollout the first quick answers of what drains were the whole comparison."""
+    gateway, clear = running(), []
+    for picks in (3, 40):
+        gateway._hear(1, 0, Counts(picks, 0, picks, picks * 10 * MS))
+        for _ in range(12):
+            gateway._hear(2, 0, Counts(1, 0, 1, 40 * MS), 3)
+            gateway._hear(2, 0, Counts(1, 0, 1, 40 * MS), 2)
+        clear.append(not gateway.alarms)
+    assert clear == [True, False]
+
+
 def test_no_on_while_a_sum_nears_its_alarm():
     gateway = running()
     gateway.outcomes = ON_OUTCOMES
