Votes where calls are scarce: renewed as they lapse, an 'on' left to lapse

Ruled out: refused calls using up the allowance (the rate counted stays at 16 whatever is refused); waits after 'full' (all that was allowed was used).

Change: where all gateways renewing every 4 s would be more calls than the settings allow, a vote is renewed when it lapses, and an 'on' no longer asked for lapses by itself unless a sum is over half of 5 nats. Elsewhere nothing changes.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -90,6 +90,9 @@
         self.alarms: set[tuple[int, str]] = set()
         self.cast, self.vote_out, self.vote_at, self.vote_wait = (-1, -1, NO_VOTE), False, now, VOTE_RETRY
         self.moot = (-1, -1)
+        # Whether all gateways renewing at their pace would be more calls than the platform takes.
+        calls = self.plan.calls_per_second * RENEW / SECOND
+        self.scarce = 0.0 < calls < self.allow.gateways
         self.born, self.tallied_at, self.sharing = now, -(1 << 60), False
         self.token, self.tell_at, self.news = self.random.randrange(1 << 16), now, False
         self.told: dict[tuple[int, int], Counts] = {}
@@ -620,11 +623,21 @@
             return
         if wanted[2] == NO_VOTE and (self.cast[2] == NO_VOTE or self.cast[:2] != wanted[:2]):
             return
+        if wanted[2] == NO_VOTE and self._lapses():
+            self.cast = self.cast if now < self.vote_at else (-1, -1, NO_VOTE)
+            return
         if wanted != self.cast:
             grounds = f"outcomes {self.outcomes} W {max(self.sums.values(), default=0.0):.1f}"
             where = f"build {wanted[0]} stage {wanted[1]} told {self.stage}"
             self.notes.append(f"vote {wanted[2]} {where} {grounds}")
         self.cast, self.vote_out = wanted, True
         life = min(RENEW, int(self.plan.vote_stands * RENEW / (6 * SECOND)))
-        self.vote_at = now + (int(life * self.random.uniform(0.5, 1.0)) if wanted[2] == ON else life)
+        life = int(life * self.random.uniform(0.5, 1.0)) if wanted[2] == ON else life
+        self.vote_at = now + (self.plan.vote_stands if self.scarce else life)
         yield VOTE, wanted[0], wanted[1], wanted[2]
+
+    def _lapses(self) -> bool:
+        """Where calls are scarce an 'on' nobody asks for any more is left to lapse: a call to take it back is
+        one less for a vote that does not stand yet. A sum over half the least threshold is worth the call."""
+        highest = max(self.sums.values(), default=0.0)
+        return self.scarce and self.cast[2] == ON and highest <= ON_MOST * LEAST_THRESHOLD
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -64,6 +64,7 @@
     vote_stands: int
     back_votes: int
     tally_period: int
+    calls_per_second: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/linenbridge/startup.py
+++ b/linenbridge/startup.py
@@ -63,6 +63,7 @@
     answer_wait: float
     back_votes: int = 1
     metrics_period: float = 0.0
+    api_rate: float = 0.0
 
 
 class Permissions(Struct):
@@ -114,6 +115,7 @@
             vote_stands=micros(plan.vote_stands),
             back_votes=plan.back_votes,
             tally_period=micros(plan.metrics_period),
+            calls_per_second=plan.api_rate,
         ),
         allowances=face.Allowances(
             max_picks=allow.max_attempts,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,7 +20,7 @@
     plan = dict(
         by_timer=False, in_place=False, shares=(0.17, 1.0), caps=(0.2, 1.0), closed_stages=1,
         per_method=False, spare_picks=2.0, forward_only=False, vote_stands=6 * SECOND, back_votes=2,
-        tally_period=0,
+        tally_period=0, calls_per_second=0.0,
     )  # fmt: skip
     allow = dict(
         max_picks=3, second_copies=True, may_cancel=True, retry_after_most=SECOND, asks_for_list=False,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -402,3 +402,33 @@
             for method in ("look", "store", "charge"):
                 gateway.on_tally(period, 2, method, 10, lost * (method in sick), 100 * MS, period)
         assert bool(gateway.alarms) is alarmed
+
+
+def test_votes_of_two_hundred_gateways_come_to_stand_together_within_the_calls_taken():
+    """16 calls a second and 32 in a burst, votes that stand 6 s, 120 needed: a call for a vote that stands
+    already, or to take an 'on' back for a moment, is one too few."""
+    gateways, stands, calls, at = [], [0] * 200, 32.0, 0
+    for number in range(200):
+        gateway = Choice(startup(number=number, gateways=200, calls_per_second=16.0), seed=number, now=0)
+        gateway.on_list(0, [entry(1), entry(2), entry(4, build=2, started=0)], whole=True, answers=True)
+        gateway.on_stage(0, 2, 0, face.ON_TRIAL, 0.2, vote=False, valid=True)
+        gateways.append(gateway)
+    most = 0
+    for at in range(4 * SECOND, 11 * SECOND, 100 * MS):
+        calls = min(32.0, calls + 1.6)
+        for number, gateway in enumerate(gateways):
+            gateway.sums[0, "slow"] = 0.3 if (number + at // (300 * MS)) % 10 == 0 else -0.1
+            for vote in [decision for decision in pull(gateway, at) if decision[0] == face.VOTE]:
+                counted, calls = calls >= 1.0, calls - (calls >= 1.0)
+                stands[number] = at + 6 * SECOND * (vote[3] == face.ON) if counted else stands[number]
+                gateway.on_stage(at, 2, 0, face.ON_TRIAL, 0.2, vote=True, valid=counted)
+        most = max(most, sum(until > at for until in stands))
+    assert most >= 120
+
+
+def test_an_on_vote_that_lapses_is_taken_back_once_the_sum_is_over_half_the_least_threshold():
+    gateway = running(gateways=200, calls_per_second=16.0)
+    gateway.cast, gateway.vote_at, gateway.outcomes = (2, 1, face.ON), 6 * SECOND, ON_OUTCOMES - 1
+    for w, sent in ((1.0, []), (2.6, [(face.VOTE, 2, 1, face.NO_VOTE)])):
+        gateway.sums[0, "slow"] = w
+        assert [decision for decision in pull(gateway, SECOND) if decision[0] == face.VOTE] == sent
