--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -380,7 +380,10 @@
         rank = sum(other < utility for other in self.utilities) / len(self.utilities)
         self.utilities.append(utility)
         share = min(SHED_MOST, (self.shed - SHED_FREE) / (1 - SHED_FREE) * (1.5 - rank))
-        return share > 0.0 and self.random.random() < share
+        shed = share > 0.0 and self.random.random() < share
+        # What is kept from the instances lowers it too: of few RPCs nearly all shed, too few answers would.
+        self.shed -= SHED_DOWN * shed
+        return shed
 
     def _weigh_shed(self, late: bool) -> None:
         """Timely answers in a row count ever more, so that it ends soon after the load does."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -371,6 +371,19 @@
         assert (gateway.shed > 0.5) == acts, (silent, gateway.shed)
 
 
+def test_shedding_ends_within_seconds_where_few_answers_come():
+    """Seventeen RPCs a second, one in twenty let through: too few answers to bring the level down soon."""
+    gateway, taken = Choice(startup(gateways=40), seed=7, now=0), []
+    gateway.on_list(0, [entry(i) for i in range(60)], whole=True, answers=True)
+    gateway.shed = 1.0
+    for n in range(45):
+        now = n * 60 * MS
+        gateway.on_rpc(now, f"r{n}", "look", 4 * SECOND, None, "", None)
+        taken.append(any(decision[:2] == (face.PICK, f"r{n}") for decision in pull(gateway, now)))
+        gateway.on_reply(now + 40 * MS, f"r{n}", 0, face.OK, True, 40 * MS, {})
+    assert not all(taken[:17]) and all(taken[-8:])
+
+
 def test_the_order_of_instances_outlives_a_restart_and_other_instances():
     def order(entries: list, number: int = 0) -> list[int]:
         gateway = Choice(startup(number=number), seed=number, now=0)
