linenbridge logs adds up a whole fleet's logs by kind and stretch of time

The command sums lines of each kind by stretch of time, the gateways that wrote them, and the counters, which a restarted process begins anew. A line that is no gateway's is counted and passed over; kinds are bounded.

--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -261,6 +261,38 @@
     Console().print(grid)
 
 
+@app.command()
+def logs(
+    folder: Annotated[Path, typer.Argument(help="A folder with one gateway's log in each file.")],
+    every: Annotated[float, typer.Option(help="Seconds in each stretch of the table.")] = 5.0,
+    most: Annotated[int, typer.Option(help="Rows to show.")] = 40,
+    as_json: AsJson = False,
+) -> None:
+    """Add up a whole fleet's logs: lines of each kind by stretch of time, and all counters."""
+    from linenbridge.cli.logs import Sums
+
+    try:
+        sums = Sums(every)
+        for file in sorted(path for path in folder.iterdir() if path.is_file()):
+            with file.open(encoding="utf-8", errors="replace") as lines:
+                sums.read(file.stem, lines)
+    except (OSError, ValueError) as error:
+        raise _refuse(error) from None
+    rows, counters = sums.rows()[:most], dict(sorted(sums.counters.items()))
+    if as_json:
+        table = [{"kind": n, "lines": c, "gateways": g, "by": by} for n, c, g, by in rows]
+        print(json.dumps({"every": every, "unread": sums.unread, "rows": table, "counters": counters}))
+        return
+    grid = Grid("kind", "lines", "gateways", f"lines by {every:g} s")
+    for name, count, gateways, by in rows:
+        grid.add_row(name, str(count), str(gateways), " ".join(f"{s}:{n}" for s, n in by.items()))
+    Console().print(grid)
+    for name, count in counters.items():
+        print(f"{name} {count}")
+    if sums.unread:
+        print(f"{sums.unread} lines were no gateway's", file=sys.stderr)
+
+
 @app.command("try")
 def try_out() -> None:
     """Start a gateway before stand-ins on loopback, send some requests and show what comes back."""
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,39 @@
+"""A fleet's logs added up."""
+
+from __future__ import annotations
+
+import json
+
+from typer.testing import CliRunner
+
+from linenbridge.cli.commands import app
+
+
+def line(at: float, event: str, **fields: object) -> str:
+    return json.dumps({"at": at, "event": event, **fields}) + "\n"
+
+
+def test_a_fleet_s_lines_are_added_up_by_kind_and_stretch_whatever_else_lies_in_the_files(tmp_path):
+    vote = "vote 1 build 7 stage 0 told 0 outcomes {} W 0.{}"
+    (tmp_path / "n0.log").write_text(
+        line(100.0, "started") + "0.7 " + line(101.0, "mode", text=vote.format(3, 1))
+        + line(109.0, "counters", counts={"vote.sent": 2, "taken.look": 5}) + line(110.0, "started")
+        + line(111.0, "counters", counts={"vote.sent": 1}) + line(112.0, "counters", counts={"vote.sent": 4})
+    )  # fmt: skip
+    (tmp_path / "n1.log").write_text(
+        line(106.0, "mode", text=vote.format(9, 4)) + line(107.0, "mode", text="shun s-1 gap 90 ms out 1")
+        + '{"at": "noon", "event": "mode"}\n{"at":1\nTraceback\n\n'
+    )  # fmt: skip
+    told = CliRunner().invoke(app, ["logs", str(tmp_path), "--json"])
+    assert told.exit_code == 0
+    sums = json.loads(told.stdout)
+    rows = {row["kind"]: (row["lines"], row["gateways"], row["by"]) for row in sums["rows"]}
+    assert rows["vote 1 build 7 stage 0"] == (2, 2, {"0": 1, "1": 1})
+    assert rows["shun"] == (1, 1, {"1": 1}) and rows["started"] == (2, 1, {"0": 1, "2": 1})
+    assert sums["counters"] == {"taken.look": 5, "vote.sent": 6}  # Two processes, the last word of each.
+    assert sums["unread"] == 3
+
+
+def test_a_folder_that_is_not_there_and_a_stretch_of_nothing_are_refused(tmp_path):
+    for words in ([str(tmp_path / "none")], [str(tmp_path), "--every", "0"]):
+        assert CliRunner().invoke(app, ["logs", *words]).exit_code == 2
