The fleet's change read once more: one place for each fact, claims held to what was seen

In the wrong place: the command line read the logs' files itself; `cli/logs.py` reads, `cli/sums.py` counts and does no I/O. A comment said that builds stay out of a kind's name: they stay in it. Could not fail for its reason: the refusal test of `logs` took exit 2 alone, which a mistyped command gives too; it now asks for the line. The bound on kinds had no test.

--- a/linenbridge/choice.py
+++ b/linenbridge/choice.py
@@ -216,6 +216,13 @@
         """Whether this gateway takes too little for twenty outcomes within the wait before 'on'."""
         return self.taken[-1] * ON_WAIT < ON_OUTCOMES * max(ON_WAIT, now - self.born)
 
+    def _highest(self) -> float:
+        return max(self.sums.values(), default=0.0)
+
+    def _silent(self, pick: Pick) -> bool:
+        """Whether its instance has said nothing to this gateway since it was sent."""
+        return self.fleet.last_reply[pick.instance] < pick.sent
+
     def _comparable(self, build: int) -> bool:
         """Slowness and time-outs tell the build from the hour only while an earlier instance is ready."""
         return build < self.judged or min(self.near, default=build) < self.judged
@@ -223,8 +230,8 @@
     def _note_outcome(self, now: int, pick: Pick, outcome: str, took: int, rpc: Rpc) -> None:
         """Only what shows that the build ran counts. A broken connection, or a time-out of an instance silent
         throughout, tells of the instance; times of cold instances tell of their start."""
-        silent, key = self.fleet.last_reply[pick.instance] < pick.sent, (pick.build, rpc.method)
-        timed_out = outcome == TIMED_OUT and not silent and self._comparable(pick.build)
+        key = (pick.build, rpc.method)
+        timed_out = outcome == TIMED_OUT and not self._silent(pick) and self._comparable(pick.build)
         if outcome in (OK, ERROR) or timed_out:
             warm = outcome == OK and self._warmth(pick.instance, pick.sent) >= 1.0
             counts = Counts(1, int(outcome != OK), int(warm), took * warm)
@@ -544,7 +551,9 @@
             fleet.failing[i] += ((outcome != OK) - fleet.failing[i]) * FAIL_WEIGHT
         within = self.methods[rpc.method].soft_deadline * (SHED_NEAR if self.shed > SHED_FREE else 1.0)
         late = outcome in (TIMED_OUT, FULL) or (outcome == OK and now > rpc.arrived + within)
-        if outcome in (OK, FULL) or (late and fleet.last_reply[i] >= pick.sent):
+        # A time-out at an instance silent throughout tells of it, not of the load: pauses alone would shed.
+        # It hurts where a whole fleet falls silent at once: only refusals and late answers are left to tell.
+        if outcome in (OK, FULL) or (late and not self._silent(pick)):
             self._weigh_shed(late)
         used = fleet.out[i] + 1 >= LIMIT_USED * fleet.limit[i]
         if outcome == OK and took < EARLY_SHARE * soft and used:
@@ -602,7 +611,7 @@
         if phase == RELEASED or not starts:
             return NO_VOTE
         # A sum on its way to the alarm is no ground for 'on', nor is what this gateway wasn't there to see.
-        highest = max(self.sums.values(), default=0.0)
+        highest = self._highest()
         enough = self.outcomes >= ON_OUTCOMES and highest <= ON_MOST * LEAST_THRESHOLD
         if enough or (now >= max(*starts, self.born) + ON_WAIT and highest <= 0.0):
             return NO_VOTE if self.plan.by_timer else ON
@@ -630,7 +639,7 @@
             self.cast = self.cast if now < self.vote_at else (-1, -1, NO_VOTE)
             return
         if wanted != self.cast:
-            grounds = f"outcomes {self.outcomes} W {max(self.sums.values(), default=0.0):.1f}"
+            grounds = f"outcomes {self.outcomes} W {self._highest():.1f}"
             where = f"build {wanted[0]} stage {wanted[1]} told {self.stage}"
             self.notes.append(f"vote {wanted[2]} {where} {grounds}")
         self.cast, self.vote_out = wanted, True
@@ -642,5 +651,4 @@
     def _lapses(self) -> bool:
         """Where calls are scarce an 'on' nobody asks for any more is left to lapse: a call to take it back is
         one less for a vote that does not stand yet. A sum over half the least threshold is worth the call."""
-        highest = max(self.sums.values(), default=0.0)
-        return self.scarce and self.cast[2] == ON and highest <= ON_MOST * LEAST_THRESHOLD
+        return self.scarce and self.cast[2] == ON and self._highest() <= ON_MOST * LEAST_THRESHOLD
--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -269,13 +269,10 @@
     as_json: AsJson = False,
 ) -> None:
     """Add up a whole fleet's logs: lines of each kind by stretch of time, and all counters."""
-    from linenbridge.cli.logs import Sums
+    from linenbridge.cli.logs import add_up
 
     try:
-        sums = Sums(every)
-        for file in sorted(path for path in folder.iterdir() if path.is_file()):
-            with file.open(encoding="utf-8", errors="replace") as lines:
-                sums.read(file.stem, lines)
+        sums = add_up(folder, every)
     except (OSError, ValueError) as error:
         raise _refuse(error) from None
     rows, counters = sums.rows()[:most], dict(sorted(sums.counters.items()))
--- a/linenbridge/cli/sums.py
+++ b/linenbridge/cli/sums.py
@@ -1,6 +1,6 @@
 """A fleet's logs added up: what all gateways did, by kind and by stretch of time.
 
-Owns the reading of lines that gateways wrote and their sums. Keeps state without I/O: `Sums` is handed text
+Owns the meaning of the lines that gateways wrote and their sums. Keeps state without I/O: it is handed text
 and holds counts alone. It must never trust a line: one that is no gateway's is counted and passed over.
 """
 
@@ -13,9 +13,8 @@
 
 import orjson
 
-# What differs from one line of a kind to the next: instances, figures and builds stay out of the kind's name.
-SHUN = re.compile(r"^shun .*")
-FIGURES = re.compile(r" (outcomes|W|level|ground|told|cap) -?[\d.]+")
+# What differs from one line of a kind to the next: the instance shunned, and figures. Build and stage stay.
+FIGURES = re.compile(r"(?<=^shun) .*| (outcomes|W|level|ground|told|cap) -?[\d.]+")
 KINDS_MOST = 10_000
 
 
@@ -76,7 +75,7 @@
     """The name under which a line is counted: changes of mode by what changed, the rest by event."""
     if event != "mode":
         return f"{event} {fields['of']}" if isinstance(fields.get("of"), str) else event
-    return FIGURES.sub("", SHUN.sub("shun", str(fields.get("text", ""))))
+    return FIGURES.sub("", str(fields.get("text", "")))
 
 
 def _fields(line: str) -> tuple[float, str, dict[str, Any]] | None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -7,6 +7,7 @@
 from typer.testing import CliRunner
 
 from linenbridge.cli.commands import app
+from linenbridge.cli.sums import KINDS_MOST, Sums
 
 
 def line(at: float, event: str, **fields: object) -> str:
@@ -34,6 +35,15 @@
     assert sums["unread"] == 3
 
 
-def test_a_folder_that_is_not_there_and_a_stretch_of_nothing_are_refused(tmp_path):
-    for words in ([str(tmp_path / "none")], [str(tmp_path), "--every", "0"]):
-        assert CliRunner().invoke(app, ["logs", *words]).exit_code == 2
+def test_a_folder_that_is_not_there_and_a_stretch_of_nothing_are_refused_in_a_line(tmp_path):
+    cases = (([str(tmp_path / "none")], "No such file"), ([str(tmp_path), "--every", "0"], "stretch"))
+    for words, said in cases:
+        told = CliRunner().invoke(app, ["logs", *words])
+        assert told.exit_code == 2 and told.stderr.startswith("linenbridge: ") and said in told.stderr
+
+
+def test_kinds_beyond_the_bound_share_a_row():
+    sums = Sums(1.0)
+    sums.read("n0", (line(1.0, f"event {n}") for n in range(KINDS_MOST + 50)))
+    rows = {name: count for name, count, _, _ in sums.rows()}
+    assert len(rows) == KINDS_MOST + 1 and rows["other"] == 50
