--- /dev/null
+++ b/linenbridge/choice/guards.py
@@ -0,0 +1,99 @@
+"""The guards behind the rules: what may go out at all, however much it is wanted.
+
+Decides without I/O. Every pick passes here: no effect twice (rule 2), no cold instance pushed over (rule 4),
+exposure within the cap (rule 5); and the one final answer where an RPC is given up (rules 1 and 2).
+"""
+
+from __future__ import annotations
+
+from linenbridge.interface import (
+    ABORT, IDEMPOTENT, PUSH_BACK, RELEASED, SECOND, TOKENED, Startup,
+)  # fmt: skip
+from linenbridge.state.counters import CapBucket
+from linenbridge.state.known import Known
+from linenbridge.state.rpcs import Rpc
+
+SEND_SHARE, RETRY_AFTER = 0.9, 2 * SECOND
+COLD_ASIDE, COLD_LEAST, COLD_CALM, FLEET_MEMORY = 0.9, 0.3, 0.2, 30 * SECOND
+SWEEP, SWEEPS, LAST_MOMENT = 50_000, 15, 12_000  # SWEEPS in the strictest soft deadline
+
+
+class Guards(Known):
+    def __init__(self, start: Startup, seed: int, now: int) -> None:
+        super().__init__(start, seed, now)
+        self.work_taken, self.shed = 0.0, 0.0
+        self.strictest = min(method.soft_deadline for method in self.methods)
+        self.sweep = min(SWEEP, self.strictest // SWEEPS)
+
+    def _may_pick(self, now: int, rpc: Rpc) -> bool:
+        """Rule 2, asked before every pick: may this RPC go out (again) at all?"""
+        if not rpc.picks or rpc.streaming or (rpc.out() and not self.allow.second_copies):
+            return not rpc.picks
+        ran = rpc.first_that_may_have_run()
+        method = self.methods[rpc.method]
+        if ran is None or method.effect == IDEMPOTENT:
+            return True
+        return method.effect == TOKENED and now < ran.sent + method.token_window - self.sweep
+
+    def _in_group(self, rpc: Rpc, i: int) -> bool:
+        """Rule 2 for tokened RPCs: a repeat stays among the instances that drop it."""
+        method, fleet = self.methods[rpc.method], self.fleet
+        if method.effect != TOKENED or method.group == "all" or not (ran := rpc.first_that_may_have_run()):
+            return True
+        group = fleet.zone if method.group == "zone" else fleet.cell
+        return group[i] == group[ran.instance]
+
+    def _final(self, rpc: Rpc) -> tuple:
+        """Rules 1 and 2: the one final answer; a pushback only where a repeat is harmless."""
+        self.rpcs.end(rpc)
+        method, ran = self.methods[rpc.method], rpc.first_that_may_have_run()
+        harmless = method.effect == IDEMPOTENT or (method.effect == TOKENED and method.group == "all")
+        if ran is None or harmless:
+            return PUSH_BACK, rpc.id, min(RETRY_AFTER, self.allow.retry_after_most)
+        return ABORT, rpc.id
+
+    def _cap(self, build: int) -> tuple[float, int] | None:
+        """Rule 5: the cap and stage that bind picks at a build; None where nothing does."""
+        if build > self.build >= 0 or (self.build < 0 and build > self.lowest):
+            return self.plan.caps[0], 0
+        if build < self.build or self.build < 0 or self.phase == RELEASED:
+            return None
+        return self.cap, self.stage
+
+    def _share(self, build: int) -> float:
+        """At a full cap no earlier instance may be left to take the tenth held back: all of it is used."""
+        cap = self._cap(build)
+        return 1.0 if cap is None or cap[0] >= 1.0 else SEND_SHARE * cap[0]
+
+    def _bucket(self, build: int, m: int) -> CapBucket | None:
+        if self._cap(build) is None:
+            return None
+        return self.bucket(build, m if self.plan.per_method else -1, self._share(build))
+
+    def _exposed(self, build: int, m: int) -> bool:
+        """Whether rule 5 lets one more RPC of the method go to the build now."""
+        if (cap := self._cap(build)) is None:
+            return True
+        if cap[0] <= 0.0 or (cap[1] < self.plan.closed_stages and self.methods[m].effect != IDEMPOTENT):
+            return False
+        return (bucket := self._bucket(build, m)) is None or bucket.tokens >= 1.0
+
+    def _warmth(self, i: int, now: int) -> float:
+        """The least share of its capacity that an instance has at that time."""
+        age, cold = now - self.fleet.started[i], self.allow.cold
+        return 1.0 if age >= cold else self.allow.cold_from + (1 - self.allow.cold_from) * max(0, age) / cold
+
+    def _cold_room(self, now: int, i: int) -> bool:
+        """Rule 4, by this gateway alone: of its own work a cold instance gets no more than the part that its
+        size and warmth give it, times the allowed multiple less what is set aside for chance and retries.
+        Earned by RPC placed, not by time, less the more is shed; the fleet counts as of late."""
+        warmth, fleet = self._warmth(i, now), self.fleet
+        if warmth >= 1.0:
+            return True
+        part = max(COLD_LEAST, self.allow.fall_multiple - COLD_ASIDE) * warmth * max(COLD_CALM, 1 - self.shed)
+        part *= fleet.size[i] / fleet.usual_size
+        if fleet.cold_mark[i] < 0.0:  # By chance: hundreds of whole ones, or of light RPCs, would meet here.
+            fleet.cold_tokens[i], fleet.cold_mark[i] = self.random.random(), self.work_taken
+        earned = part * (self.work_taken - fleet.cold_mark[i])
+        fleet.cold_tokens[i], fleet.cold_mark[i] = min(1.0, fleet.cold_tokens[i] + earned), self.work_taken
+        return fleet.cold_tokens[i] >= 1.0
--- /dev/null
+++ b/linenbridge/choice/placing.py
@@ -0,0 +1,158 @@
+"""Placing RPCs: the inputs, one turn's decisions in their order; `Choice` is the module as a host sees it.
+
+Decides without I/O. Inputs only update what is known; decisions are pulled. It must never keep an RPC past
+its last moment, nor answer one twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from linenbridge.choice.evidence import TOOK_WEIGHT
+from linenbridge.choice.guards import FLEET_MEMORY, LAST_MOMENT
+from linenbridge.choice.health import GAP_START, Health
+from linenbridge.choice.shedding import LIMIT_START
+from linenbridge.choice.votes import VOTE_RETRY, VOTE_RETRY_MOST
+from linenbridge.interface import (
+    FULL, LOG, NO_VOTE, ON_TRIAL, RELEASED, SECOND, WATCH, Id, ListEntry, Startup,
+)  # fmt: skip
+from linenbridge.state.counters import Parts
+from linenbridge.state.rpcs import Rpc
+
+TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
+FULL_MOST, IDLE = 2, 250_000
+LIST_RETRY, LIST_RETRY_MOST = 300_000, 4 * SECOND
+
+
+class Choice(Health):
+    """Every decision of one gateway. Times are whole microseconds on the host's clock."""
+
+    def __init__(self, start: Startup, seed: int, now: int) -> None:
+        super().__init__(start, seed, now)
+        self.waiting: list[Rpc] = []
+        self.passing: Iterator[tuple] | None = None
+        self.watch_at: int | None = now if self.allow.asks_for_list else None
+        self.sweep_at, self.watch_wait = now, LIST_RETRY
+        self.tenants = Parts(TENANT_MEMORY, start.tenant_shares)
+
+    def on_list(self, now: int, entries: list[ListEntry], *, whole: bool, answers: bool) -> None:
+        self.fleet.update(entries, whole, GAP_START * self.sweep, LIMIT_START, self.rpcs.instances())
+        self.watch_wait = LIST_RETRY if answers else self.watch_wait
+        self.fleet.listed(now, FLEET_MEMORY)
+        self.near = self.fleet.near
+        if self.near:
+            self.lowest = min(self.near) if self.lowest < 0 else min(self.lowest, *self.near)
+            self._judge(max(self.near))
+
+    def on_list_failed(self, now: int) -> None:
+        self.watch_at = now + int(self.watch_wait * self.random.uniform(0.5, 1.5))
+        self.watch_wait = min(2 * self.watch_wait, LIST_RETRY_MOST)
+
+    def on_rpc(
+        self, now: int, rpc: str, method: str, ttl: int, work: int | None, tenant: str, key: Id | None
+    ) -> None:
+        m = self.row[method]
+        table, cost = self.methods[m], self.count(m, work, TOOK_WEIGHT)
+        utility = table.utility if self.allow.by_work else table.utility / self.took[m]
+        if self.tenants.part(now, tenant) > OVER_SHARE * self.start.tenant_shares.get(tenant, 1.0):
+            utility *= self.allow.over_share_utility
+        self.lately.add(now, 1.0)
+        end = now + ttl
+        taken = Rpc(rpc, m, now, min(now + table.soft_deadline, end), end, cost, utility, key)
+        self.rpcs.add(taken, max(now, end - LAST_MOMENT))
+        self.waiting.append(taken)
+
+    def on_reply(
+        self, now: int, rpc: str, pick: int, outcome: str, final: bool, took: int, load: dict[str, float]
+    ) -> None:
+        owner = self.rpcs.get(rpc)
+        if owner is None or pick >= len(owner.picks) or owner.picks[pick].outcome is not None:
+            return
+        sent = owner.picks[pick]
+        sent.outcome = outcome
+        self._note_health(now, sent, outcome, took, owner, load)
+        self._note_outcome(now, sent, outcome, took, owner)
+        if final or owner.ended:
+            self.rpcs.end(owner)
+        elif not owner.out():
+            self.waiting.append(owner)
+
+    def on_stage(
+        self, now: int, build: int, stage: int, phase: int, cap: float, *, vote: bool, valid: bool,
+        moot: bool = False,
+    ) -> None:  # fmt: skip
+        if vote:
+            self.vote_out = False
+            if not valid:
+                self.vote_at = now + int(self.vote_wait * self.random.uniform(0.5, 1.5))
+                self.vote_wait = min(2 * self.vote_wait, VOTE_RETRY_MOST)
+                self.moot = self.cast[:2] if moot else self.moot
+                self.cast = (-1, -1, NO_VOTE)
+        if not valid or build < self.build:
+            return
+        self.takes_news(build, stage, phase, cap, rising=phase in (ON_TRIAL, RELEASED))
+        for (b, row), bucket in self.buckets.items():
+            bucket.settle(self.taken[row])
+            bucket.share = self._share(b)
+        self.moot, self.vote_wait = (-1, -1), VOTE_RETRY
+        self._judge(build)
+
+    def next_decision(self, now: int) -> tuple | None:
+        if self.passing is None:
+            self.passing = self._decide(now)
+        if (decision := next(self.passing, None)) is None:
+            self.passing = None
+        return decision
+
+    def wake_at(self) -> int | None:
+        """The next deadline or sweep: often while something is open, never when no vote is to be cast."""
+        times = [] if (due := self.rpcs.next_due()) is None else [due]
+        settled = self.build == self.judged and self.phase != ON_TRIAL and self.cast[2] == NO_VOTE
+        if self.rpcs or self.watch_at is not None or not settled:
+            times.append(self.sweep_at)
+        return min(times, default=None)
+
+    def _decide(self, now: int) -> Iterator[tuple]:
+        if self.watch_at is not None and now >= self.watch_at:
+            self.watch_at = None
+            yield (WATCH,)
+        for rpc in self.rpcs.overdue(now):
+            yield self._final(rpc)
+        if now >= self.sweep_at:
+            yield from self._doubt(now)
+            self.sweep_at = now + (self.sweep if self.rpcs else IDLE)
+        elif self.rpcs:
+            self.sweep_at = min(self.sweep_at, now + self.sweep)
+        yield from self._place(now)
+        yield from self._ballot(now)
+        yield from self._tell(now)
+        while self.notes:
+            yield (LOG, self.notes.popleft())
+
+    def _place(self, now: int) -> Iterator[tuple]:
+        """Most utility first; what finds no room waits until its soft deadline is out of reach, no longer."""
+        queue = [rpc for rpc in self.waiting if not rpc.ended]
+        queue.sort(key=lambda rpc: (-rpc.utility, rpc.arrived))
+        self.waiting = []
+        crowded: set[int] = set()
+        for rpc in queue:
+            fresh, new = not rpc.picks, rpc.arrived == now
+            late = now + self.took[rpc.method] > rpc.soft_deadline
+            if fresh and not late and not new and rpc.method in crowded:
+                self.waiting.append(rpc)
+                continue
+            full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
+            spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
+            if spent or (new and self._sheds(now, rpc.utility)) or not self._may_pick(now, rpc):
+                yield self._final(rpc)
+                continue
+            self.work_taken += rpc.cost * new
+            i = None if fresh and rpc.method in crowded else self._target(now, rpc)
+            if i is not None:
+                yield self._send(now, rpc, i)
+            elif late:
+                yield self._final(rpc)
+            else:
+                self.waiting.append(rpc)
+                if fresh:
+                    crowded.add(rpc.method)
--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -16,8 +16,9 @@
 from rich.console import Console
 from rich.table import Table as Grid
 
-from linenbridge.premises.read import Premises, PremisesError, read, routes, schema_text
+from linenbridge.premises.read import Premises, PremisesError, read, schema_text
 from linenbridge.processor.front import AnswerForm
+from linenbridge.processor.premises import routes, wicket
 from linenbridge.routes.table import Request
 
 FOUND, UNUSABLE = 1, 2
@@ -49,7 +50,7 @@
 
 
 def _station(config: Path):  # noqa: ANN202  (its module is imported where used)
-    from linenbridge.__main__ import station
+    from linenbridge.process.station import station
 
     return station({**os.environ, "LB_CONFIG": str(config)})
 
@@ -98,10 +99,10 @@
 
     try:
         at, premises = _station(config), read(str(settings_file))
-        if premises.wicket is None:
+        if (told := wicket(premises)) is None:
             raise PremisesError(f"{settings_file}: it has no processor, and so no routes")
         longest = micros(max(profile.give_up for profile in at.settings.profiles))
-        return routes(premises.wicket, list(startup(at.settings).methods), longest)
+        return routes(told, list(startup(at.settings).methods), longest)
     except (PremisesError, ValueError, OSError) as error:
         raise _refuse(error) from None
 
@@ -166,10 +167,10 @@
 ) -> None:
     """Check the file by its schema, and its routes where a configuration is given."""
     try:
-        premises = read(str(settings_file))
+        told = wicket(read(str(settings_file)))
     except PremisesError as error:
         raise _refuse(error) from None
-    if config is not None and premises.wicket is not None:
+    if config is not None and told is not None:
         _table(settings_file, config)
     print(f"{settings_file}: no fault")
 
@@ -178,10 +179,9 @@
 def settings_show(settings_file: SettingsFile, as_json: AsJson = False) -> None:
     """Show what the file comes to, defaults and all."""
     try:
-        premises = read(str(settings_file))
+        rows = shown(read(str(settings_file)))
     except PremisesError as error:
         raise _refuse(error) from None
-    rows = shown(premises)
     if as_json:
         print(json.dumps(rows))
         return
@@ -194,19 +194,19 @@
 def shown(premises: Premises) -> dict[str, object]:
     """The settings in force, by dotted names; times in microseconds."""
     rows: dict[str, object] = {"log.level": premises.log_level}
-    if (wicket := premises.wicket) is None:
+    if (told := wicket(premises)) is None:
         return rows
     rows |= {
-        "listen": f"{wicket.host}:{wicket.port}",
-        "unrouted": "pass" if wicket.passes_unrouted else "refuse",
+        "listen": f"{told.host}:{told.port}",
+        "unrouted": "pass" if told.passes_unrouted else "refuse",
     }
-    rows["tls"] = None if wicket.tls is None else wicket.tls.certificate
-    rows["bounds.connections"] = wicket.connections
-    rows |= {f"bounds.{name}": getattr(wicket.bounds, name) for name in wicket.bounds.__slots__}
-    rows |= {f"tickets.{name}": getattr(wicket.terms, name) for name in wicket.terms.__slots__}
-    rows["store"] = None if wicket.store is None else " ".join(wicket.store)
-    rows |= {f"answer.{name}": getattr(wicket.form, name) for name in AnswerForm.__slots__}
-    for known in wicket.partners:
+    rows["tls"] = None if told.tls is None else told.tls.certificate
+    rows["bounds.connections"] = told.connections
+    rows |= {f"bounds.{name}": getattr(told.bounds, name) for name in told.bounds.__slots__}
+    rows |= {f"tickets.{name}": getattr(told.terms, name) for name in told.terms.__slots__}
+    rows["store"] = None if told.store is None else " ".join(told.store)
+    rows |= {f"answer.{name}": getattr(told.form, name) for name in AnswerForm.__slots__}
+    for known in told.partners:
         partner, by = known.partner, known.identity or str(known.network)
         said = f"{by}, {partner.attempts} attempts, fail {'open' if partner.fail_open else 'closed'}"
         rows[f"partner.{partner.name}"] = said + (", ours" if partner.ours else "")
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -35,6 +35,7 @@
 GONE, READY, DRAINING = 0, 1, 2
 ON_TRIAL, GOING_BACK, RELEASED, WITHDRAWN = 0, 1, 2, 3
 NO_VOTE, ON, HOLD, BACK = 0, 1, 2, 3
+MS, SECOND = 1_000, 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/linenbridge/process/gateway.py
@@ -0,0 +1,43 @@
+"""The platform's gateway: one process that speaks RESP2, from its configuration to its end.
+
+Owns the order of its start. It must never decide; what other processes of ours serve beside it is not
+imported here.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from functools import partial
+
+from linenbridge.net.discovery import host_port
+from linenbridge.net.log import Log
+from linenbridge.process import lifetime
+from linenbridge.process.parts import build, reload
+from linenbridge.process.station import station
+
+
+def main() -> int:
+    """The process's exit code: 2 where the configuration cannot be used, which one line names."""
+    try:
+        at = station(dict(os.environ))
+    except ValueError as error:
+        print(f"linenbridge: {error}", file=sys.stderr)
+        return 2
+    log = Log(sys.stderr.buffer)
+    reactor = lifetime.begin(log)
+    parts = build(at, log, reactor)
+    clients, instances, _, _, loop = parts
+    reactor.serve(loop)
+    clients.listen(reactor, *host_port(at.listen))
+    log.event("started", gateway=at.name, listen=at.listen)
+
+    def stop() -> None:
+        log.event("stopping", open=loop.unanswered)
+        clients.stop(reactor, reactor.stop)
+
+    def counters() -> None:
+        log.counters(open=loop.unanswered, clients=clients.descriptors.open, lines=instances.descriptors.open)
+
+    lifetime.run(reactor, log, stop, counters, partial(reload, parts, log, dict(os.environ)))
+    return 0
--- /dev/null
+++ b/linenbridge/processor/premises.py
@@ -0,0 +1,184 @@
+"""What the settings say to the processor: its element, from the checked XML to plain objects.
+
+Owns what the element's words stand for, and the routes that it names. It must never hold a tuned value:
+defaults stand in the schema, where operators can read them.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass, replace
+from functools import partial
+
+from lxml import etree
+
+from linenbridge.interface import Method
+from linenbridge.net.discovery import host_port
+from linenbridge.premises.read import FILE_MOST, SPACE, Premises, PremisesError, duration, said, size
+from linenbridge.processor.front import AnswerForm, Partner
+from linenbridge.processor.keys import KeyFiles
+from linenbridge.processor.limits import Bounds
+from linenbridge.processor.tickets import TicketTerms
+from linenbridge.processor.verdicts import Proof
+from linenbridge.routes.language import RouteError
+from linenbridge.routes.table import FaultsError, Table, table
+
+USE_WITHIN_MOST = 250_000  # half of the grace for drains: what is handed out is sent well inside it
+TLS_FILES = ("certificate", "key", "authorities")
+
+
+@dataclass(frozen=True, slots=True)
+class Wicket:
+    """All that the processor's front is told."""
+
+    host: str
+    port: int
+    passes_unrouted: bool
+    tls: KeyFiles | None
+    bounds: Bounds
+    connections: int
+    terms: TicketTerms
+    store: tuple[str, str] | None
+    form: AnswerForm
+    proofs: tuple[Proof, ...]
+    partners: tuple[Known, ...]
+    routes: str
+    routes_file: str
+    routes_line: int
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """How a partner is known: by a name in its certificate, or by where it connects from."""
+
+    partner: Partner
+    identity: str
+    network: ipaddress.IPv4Network | ipaddress.IPv6Network | None
+
+
+def wicket(premises: Premises) -> Wicket | None:
+    """The processor's element of the settings; None where the file has none."""
+    element = premises.part("processor")
+    if element is None:
+        return None
+    path = premises.path
+    host, port = host_port(element.get("listen").replace("[", "").replace("]", ""))
+    bounds, terms = said(element, "bounds"), said(element, "tickets")
+    use_within = duration(terms["use-within"])
+    if use_within > USE_WITHIN_MOST:
+        most = USE_WITHIN_MOST // 1000
+        raise premises.refused(element.find(f"{SPACE}tickets"), f"use-within is {most}ms at most")
+    partners = tuple(_partner(premises, found) for found in element.iter(f"{SPACE}partner"))
+    names = [known.partner.name for known in partners]
+    for found in element.iter(f"{SPACE}partner"):
+        if names.count(found.get("name")) > 1:
+            raise premises.refused(found, f"two are named {found.get('name')}")
+    tls, store, routes = (
+        element.find(f"{SPACE}tls"),
+        element.find(f"{SPACE}store"),
+        element.find(f"{SPACE}routes"),
+    )
+    file, text, line = path, routes.text or "", routes.sourceline
+    if (named := routes.get("file")) is not None:
+        if text.strip():
+            raise premises.refused(routes, "a file or the routes themselves, not both")
+        file, line = premises.beside(named), 1
+        try:
+            with open(file, encoding="utf-8") as opened:
+                text = opened.read(FILE_MOST)
+        except (OSError, UnicodeDecodeError) as error:
+            raise premises.refused(routes, f"{file}: {error}") from None
+    kept = None
+    if store is not None:
+        kept = premises.beside(store.get("file")), store.get("outlives", "process")
+    return Wicket(
+        host=host,
+        port=port,
+        passes_unrouted=element.get("unrouted") == "pass",
+        tls=None if tls is None else KeyFiles(*(premises.beside(tls.get(n, "")) for n in TLS_FILES)),
+        bounds=Bounds(
+            int(bounds["streams"]), size(bounds["message"]), size(bounds["headers"]), size(bounds["backlog"]),
+            duration(bounds["first-word"]), duration(bounds["unread"]), duration(bounds["idle"]),
+        ),
+        connections=int(bounds["connections"]),
+        terms=TicketTerms(
+            use_within, use_within, duration(terms["remember"]), int(terms["open"]), int(terms["ids"])
+        ),
+        store=kept,
+        form=_form(element.find(f"{SPACE}answer")),
+        proofs=tuple(
+            Proof(int(found.get("status")), found.get("header"), found.get("value"))
+            for found in element.iter(f"{SPACE}proof")
+        ),
+        partners=partners,
+        routes=text,
+        routes_file=file,
+        routes_line=line,
+    )  # fmt: skip
+
+
+def _form(element: etree._Element | None) -> AnswerForm:
+    said = {
+        name.replace("-", "_"): value
+        for name, value in (element.attrib if element is not None else {}).items()
+    }
+    codes = {
+        name: int(value) for name, value in said.items() if name in ("pushed_back", "aborted", "timed_out")
+    }
+    return replace(AnswerForm(), **{**said, **codes})
+
+
+def _partner(premises: Premises, element: etree._Element) -> Known:
+    refuse = partial(premises.refused, element)
+    identity, address, network = element.get("identity", ""), element.get("address", ""), None
+    if bool(identity) == bool(address):
+        raise refuse("it is known by an identity or by an address, one of the two")
+    if address:
+        try:
+            network = ipaddress.ip_network(address, strict=False)
+        except ValueError as error:
+            raise refuse(str(error)) from None
+    ours = element.get("ours") in ("true", "1")
+    if ours and not identity and not (network is not None and network.is_loopback):
+        raise refuse(
+            "one of ours is known by its certificate, or comes from this machine: addresses can be taken"
+        )
+    partner = Partner(
+        element.get("name"),
+        ours,
+        int(element.get("attempts", "1")),
+        element.get("fail-open") not in ("false", "0"),
+    )
+    return Known(partner, identity, network)
+
+
+def routes(wicket: Wicket, methods: list[Method], longest: int) -> Table:
+    """The routing table; PremisesError gives each fault's place in the file that it stands in."""
+    try:
+        return table(wicket.routes, methods, longest)
+    except FaultsError as faults:
+        raise PremisesError("\n".join(_placed(wicket, error) for error in faults.wrong)) from None
+    except RouteError as error:
+        raise PremisesError(_placed(wicket, error)) from None
+
+
+def _placed(wicket: Wicket, error: RouteError) -> str:
+    return (
+        f"{wicket.routes_file}:{wicket.routes_line + error.place.line - 1}:{error.place.column}: {error.what}"
+    )
+
+
+class Directory:
+    """Who a connection is: the first partner whose identity or network fits."""
+
+    def __init__(self, partners: tuple[Known, ...]) -> None:
+        self.partners = partners
+
+    def find(self, address: str, names: tuple[str, ...]) -> Partner | None:
+        for known in self.partners:
+            if known.identity:
+                if known.identity in names:
+                    return known.partner
+            elif known.network is not None and ipaddress.ip_address(address) in known.network:
+                return known.partner
+        return None
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/stand.py
@@ -6,28 +6,26 @@
 
 from __future__ import annotations
 
-import gc
 import os
-import signal
 import sys
 import time
 from functools import partial
 from typing import Any
 
-from twisted.internet.main import installReactor
-from twisted.logger import globalLogBeginner
-
-from linenbridge import __main__ as program
 from linenbridge.house.log import structured
+from linenbridge.net.discovery import host_port
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
-from linenbridge.net.reactor import Reactor
-from linenbridge.premises.read import Directory, Premises, PremisesError, Wicket, routes
+from linenbridge.premises.read import Premises, PremisesError
+from linenbridge.process import lifetime
+from linenbridge.process.parts import build, reload
+from linenbridge.process.station import Station
 from linenbridge.processor import keys
 from linenbridge.processor.evidence import Evidence
 from linenbridge.processor.front import Conversation, Front
 from linenbridge.processor.health import Health
 from linenbridge.processor.http2 import PERMISSION_DENIED, Call, Server
+from linenbridge.processor.premises import Directory, Wicket, routes, wicket
 from linenbridge.processor.store import Store
 from linenbridge.processor.tickets import Ledger
 from linenbridge.processor.verdicts import Verdicts
@@ -52,7 +50,7 @@
 class Stand:
     """The processor's front with its server, on one gateway's loop."""
 
-    def __init__(self, at: program.Station, wicket: Wicket, log: Log, reactor: Any) -> None:
+    def __init__(self, at: Station, wicket: Wicket, log: Log, reactor: Any) -> None:
         self.wicket, self.log, self.reactor = wicket, log, reactor
         start = startup(at.settings)
         self.longest = micros(max(profile.give_up for profile in at.settings.profiles))
@@ -133,23 +131,18 @@
         }
 
 
-def run(premises: Premises, at: program.Station, resp: bool) -> int:
+def run(premises: Premises, at: Station, resp: bool) -> int:
     """One process until its end: the processor, and RESP2 too where `resp` says so."""
-    if premises.wicket is None:
+    if (told := wicket(premises)) is None:
         raise PremisesError(f"{premises.path}: element 'linenbridge': it has no processor")
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     log = structured(sys.stderr.buffer, premises.log_level)
-    reactor = Reactor()
-    stand = Stand(at, premises.wicket, log, reactor)
-    globalLogBeginner.beginLoggingTo(
-        [partial(program.unhandled, log)], redirectStandardIO=False, discardBuffer=True
-    )
-    installReactor(reactor)
-    parts = program.build(at, log, reactor, stand.open)
+    reactor = lifetime.begin(log)
+    stand = Stand(at, told, log, reactor)
+    parts = build(at, log, reactor, stand.open)
     reactor.serve(parts.loop)
     stand.listen()
     if resp:
-        parts.clients.listen(reactor, *program.host_port(at.listen))
+        parts.clients.listen(reactor, *host_port(at.listen))
     log.event("started", gateway=at.name, listen=at.listen if resp else "")
     left = {"processor"} | ({"resp"} if resp else set())
 
@@ -158,31 +151,21 @@
         if not left:
             reactor.stop()
 
-    def stop(*_: object) -> None:
+    def stop() -> None:
         log.event("stopping", open=parts.loop.unanswered)
         stand.leave(partial(gone, "processor"))
         if resp:
             parts.clients.stop(reactor, partial(gone, "resp"))
 
-    def counters(*_: object) -> None:
+    def counters() -> None:
         log.counters(
             open=parts.loop.unanswered, clients=parts.clients.descriptors.open,
             lines=parts.instances.descriptors.open, **stand.open_now(),
         )  # fmt: skip
 
-    def anew(*_: object) -> None:
-        program.reload(parts, log, dict(os.environ))
+    def anew() -> None:
+        reload(parts, log, dict(os.environ))
         stand.reload()
 
-    handlers = {signal.SIGTERM: stop, signal.SIGINT: stop, signal.SIGUSR1: counters, signal.SIGHUP: anew}
-    for number, handler in handlers.items():
-        signal.signal(number, lambda *_, handler=handler: reactor.callFromThread(handler))
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*program.YOUNG)
-    reactor.run(installSignalHandlers=False)
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    counters()
-    log.event("stopped")
+    lifetime.run(reactor, log, stop, counters, anew)
     return 0
--- a/linenbridge/state/counters.py
+++ b/linenbridge/state/counters.py
@@ -1,4 +1,7 @@
-"""Small counters: buckets, decaying rates and recent quantiles."""
+"""Small counters: buckets, decaying rates and recent quantiles.
+
+Keeps state without I/O. It must never hold how long anything is remembered.
+"""
 
 from __future__ import annotations
 
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -1,10 +1,14 @@
-"""The fleet as parallel arrays under a dense index."""
+"""The fleet as parallel arrays under a dense index.
+
+Keeps state without I/O. It must never choose among instances, nor hold how fast its figures are forgotten.
+"""
 
 from __future__ import annotations
 
 from bisect import bisect
 from collections.abc import Iterable
 from itertools import accumulate
+from math import exp
 from random import Random
 from zlib import crc32
 
@@ -26,7 +30,7 @@
     """Per-instance figures; an instance keeps its index while it is listed or in use. `near` lists the ready
     ones of a build in an order of this gateway's own, the same after a restart, whatever else is listed."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: int, now: int) -> None:
         self.number = number
         self.index: dict[Id, int] = {}
         self.ids: list[Id] = []
@@ -51,6 +55,7 @@
         self.cold_tokens: list[float] = []
         self.cold_mark: list[float] = []
         self.others_mean = 0.0
+        self.usual_size, self.listed_at = 0.0, now
         self.rank: list[int] = []
         self.ready: list[int] = []
         self.sizes: list[float] = []
@@ -136,3 +141,18 @@
         """A load report: what others have there, and the fleet's mean of that for its size."""
         self.others[i], self.reported_at[i] = max(0.0, in_flight - self.out[i]), now
         self.others_mean += (self.others[i] / self.size[i] - self.others_mean) * weight
+
+    def others_now(self, i: int, now: int, memory: int) -> float:
+        """What others are likely to have there: the last report, forgotten in favour of the fleet's mean."""
+        usual = self.others_mean * self.size[i]
+        return usual + (self.others[i] - usual) * exp((self.reported_at[i] - now) / memory)
+
+    def failing_now(self, i: int, now: int, memory: int) -> float:
+        """Share of an instance's last answers that were errors or refusals; forgotten when left alone."""
+        return self.failing[i] * exp((self.last_reply[i] - now) / memory)
+
+    def listed(self, now: int, memory: int) -> None:
+        """The size of all that are ready, of late."""
+        ready = sum(self.sizes)
+        keep = exp((self.listed_at - now) / memory) if self.usual_size else 0.0
+        self.usual_size, self.listed_at = self.usual_size * keep + ready * (1 - keep), now
--- a/linenbridge/state/peers.py
+++ b/linenbridge/state/peers.py
@@ -1,4 +1,7 @@
-"""The few bytes that gateways may send each other: counts of own outcomes since a gateway's start."""
+"""The few bytes that gateways may send each other: counts of own outcomes since a gateway's start.
+
+Keeps state without I/O. It must never take a peer's word beyond the bytes that it checks.
+"""
 
 from __future__ import annotations
 
--- a/linenbridge/state/rpcs.py
+++ b/linenbridge/state/rpcs.py
@@ -1,4 +1,7 @@
-"""Open RPCs and what became of their picks."""
+"""Open RPCs and what became of their picks.
+
+Keeps state without I/O. It must never end an RPC on its own.
+"""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/days.py
@@ -0,0 +1,165 @@
+"""Seeded days of the decision module alone, and the record of all that it decided on them.
+
+Owns what happens around one gateway there: RPCs of several methods and tenants, picks that end in every way,
+lists, stages, votes that are refused, tallies, peers' words and flags. It asserts nothing; it must never look
+at the module's state. `python -m tests.days SEEDS` prints one digest of the records of that many days.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import sys
+from random import Random
+
+from linenbridge import interface as face
+from linenbridge.choice import Choice
+from linenbridge.interface import SECOND, ListEntry, Startup
+from linenbridge.state.counters import Counts
+from linenbridge.state.peers import pack
+from tests.helpers import LONG_AGO, MS, startup
+
+OUTCOMES = (face.OK, face.ERROR, face.FULL, face.TIMED_OUT, face.UNREACHED, face.BROKEN, face.SPOILT)
+
+
+class Day:
+    """One gateway among `gateways`, one day; `lines` is the record."""
+
+    def __init__(self, seed: int) -> None:
+        self.dice = Random(f"day {seed}")
+        self.start = self._settings()
+        self.gateways = self.start.allowances.gateways
+        self.now, self.count, self.lines = 0, 0, list[str]()
+        self.gateway = Choice(self.start, seed, 0)
+        self.entries = {n: self._entry(n, 1, face.READY, LONG_AGO) for n in range(self.dice.choice((6, 40)))}
+        self.open: dict[str, int] = {}
+        self.due: list[tuple[int, str, int, int]] = []
+        self.pace = self.dice.choice((1, 3, 12))
+        self.stage = (1, 1, face.RELEASED, 1.0)
+        self.sick: set[int] = set()
+        self.gateway.on_list(0, list(self.entries.values()), whole=True, answers=False)
+        self.gateway.on_stage(0, *self.stage, vote=False, valid=True, moot=False)
+
+    def _settings(self) -> Startup:
+        dice = self.dice
+        return startup(
+            second_copies=dice.random() < 0.5, may_cancel=dice.random() < 0.5, may_tell=dice.random() < 0.5,
+            per_method=dice.random() < 0.5, forward_only=dice.random() < 0.5, by_work=dice.random() < 0.3,
+            asks_for_list=dice.random() < 0.5, by_timer=dice.random() < 0.3, in_place=dice.random() < 0.5,
+            cold_from=dice.uniform(0.1, 0.4), fall_multiple=dice.uniform(1.2, 3.0),
+            gateways=dice.choice((1, 4, 40, 214)), number=dice.randrange(4),
+            back_votes=dice.choice((1, 3, 70)), tally_period=dice.choice((0, SECOND)),
+            calls_per_second=dice.choice((0.0, 16.0)),
+        )  # fmt: skip
+
+    def _entry(self, n: int, build: int, state: int, started: int) -> ListEntry:
+        return ListEntry(n, build, "abc"[n % 3], n % 5, state, 1.0 + n % 2, started)
+
+    def play(self, steps: int) -> list[str]:
+        for step in range(steps):
+            self.now += self.dice.choice((2, 10, 40)) * MS
+            if step % 40 == 0:
+                self._news(step // 40)
+            for _ in range(self.dice.randrange(self.pace + 1)):
+                self._arrive()
+            ended = [row for row in self.due if row[0] <= self.now]
+            self.due = [row for row in self.due if row[0] > self.now]
+            for _, rpc, number, instance in ended:
+                self._end(rpc, number, instance)
+            if self.dice.random() < 0.02 and self.open:
+                rpc = self.dice.choice(list(self.open))
+                del self.open[rpc]
+                self.gateway.on_gone(self.now, rpc)
+            self._decisions()
+            self.lines.append(f"{self.now} wake {self.gateway.wake_at()}")
+        return self.lines
+
+    def _arrive(self) -> None:
+        self.count += 1
+        rpc, method = f"r{self.count}", self.dice.choice(self.start.methods)
+        work = self.dice.choice((None, 5, 50))
+        ttl = self.dice.randrange(300 * MS, 4 * SECOND)
+        tenant, key = (
+            self.dice.choice(("", "north", "south")),
+            self.dice.choice((None, self.dice.randrange(40))),
+        )
+        self.open[rpc] = 0
+        self.gateway.on_rpc(self.now, rpc, method.name, ttl, work, tenant, key)
+
+    def _end(self, rpc: str, number: int, instance: int) -> None:
+        weights = (20, 40, 10, 10, 5, 5, 2) if instance in self.sick else (200, 3, 1, 3, 1, 1, 1)
+        outcome = self.dice.choices(OUTCOMES, weights)[0]
+        final = outcome == face.OK and rpc in self.open
+        if final:
+            del self.open[rpc]
+        load = self.dice.choice(({}, {"in_flight": 3.0}, {"waiting": 1.0}))
+        took = self.dice.randrange(5 * MS, self.dice.choice((40, 200, 1200)) * MS)
+        self.gateway.on_reply(self.now, rpc, number, outcome, final or rpc not in self.open, took, load)
+
+    def _news(self, turn: int) -> None:
+        """What the list, the platform and other gateways say; a new build comes, moves on or goes back."""
+        dice = self.dice
+        for n in dice.sample(sorted(self.entries), 2):
+            build = dice.choice((1, 2)) if turn < 12 else dice.choice((2, 3))
+            state = dice.choice((face.READY, face.READY, face.READY, face.DRAINING, face.GONE))
+            self.entries[n] = self._entry(n, build, state, dice.choice((LONG_AGO, self.now - SECOND)))
+        if turn % 5 == 4:
+            self.sick = set(dice.sample(sorted(self.entries), 2))
+        self.gateway.on_list(
+            self.now, list(self.entries.values()), whole=turn % 3 == 0, answers=dice.random() < 0.8
+        )
+        if dice.random() < 0.1:
+            self.gateway.on_list_failed(self.now)
+        if dice.random() < 0.4:
+            build, phase = 2 if turn < 12 else 3, dice.choice((face.ON_TRIAL, face.ON_TRIAL, face.GOING_BACK))
+            cap = dice.choice((0.2, 1.0)) if phase == face.ON_TRIAL else 0.0
+            self.gateway.on_stage(
+                self.now, build, int(cap == 1.0), phase, cap, vote=dice.random() < 0.2, valid=True, moot=False
+            )
+        build, method = dice.choice((1, 2, 3)), dice.choice(self.start.methods).name
+        picks = dice.randrange(60)
+        failed = dice.randrange(picks // 3 + 1)
+        self.gateway.on_tally(
+            self.now, build, method, picks, failed, 80 * MS, self.now - dice.randrange(SECOND)
+        )
+        counts = {(build, m): Counts(4 * turn, turn, 3 * turn, 3 * turn * 90 * MS) for m in range(3)}
+        words = pack(9, [build], 3, counts)
+        self.gateway.on_peer(self.now, dice.randrange(4), words[: dice.choice((len(words), len(words) - 3))])
+        self.gateway.on_flag(self.now, dice.choice(sorted(self.entries)), method, self.now - SECOND // 2)
+
+    def _decisions(self) -> None:
+        while (decision := self.gateway.next_decision(self.now)) is not None:
+            self.lines.append(f"{self.now} {decision!r}")
+            kind = decision[0]
+            if kind == face.PICK:
+                wait = min(decision[3], self.dice.choice((5, 10, 30, 60, 200, 3000)) * MS)
+                self.due.append((self.now + wait, decision[1], self._number(decision[1]), decision[2]))
+            elif kind in (face.PUSH_BACK, face.ABORT):
+                del self.open[decision[1]]
+            elif kind == face.VOTE:
+                valid = self.dice.random() < 0.7
+                build, stage = (decision[1], decision[2]) if valid else (0, 0)
+                cap, moot = self.start.plan.caps[stage], not valid and self.dice.random() < 0.3
+                self.gateway.on_stage(
+                    self.now, build, stage, face.ON_TRIAL, cap, vote=True, valid=valid, moot=moot
+                )
+
+    def _number(self, rpc: str) -> int:
+        """The pick's number among the RPC's, from nought."""
+        if rpc in self.open:
+            self.open[rpc] += 1
+            return self.open[rpc] - 1
+        return 0
+
+
+def digest(seeds: int, steps: int = 1200) -> tuple[str, int]:
+    """Of the records of days 0 to `seeds`, and how many lines they hold."""
+    found, lines = hashlib.sha256(), 0
+    for seed in range(seeds):
+        record = Day(seed).play(steps)
+        found.update("\n".join(record).encode())
+        lines += len(record)
+    return found.hexdigest(), lines
+
+
+if __name__ == "__main__":
+    print(*digest(int(sys.argv[1])))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from linenbridge import interface as face
-from linenbridge.choice import SECOND, Choice
-from linenbridge.interface import Allowances, ListEntry, Method, RolloutPlan, Startup
+from linenbridge.choice import Choice
+from linenbridge.interface import SECOND, Allowances, ListEntry, Method, RolloutPlan, Startup
 
 MS = 1_000
 LONG_AGO = -100 * SECOND
--- /dev/null
+++ b/tests/net/test_picks.py
@@ -0,0 +1,188 @@
+"""Picks on connections to instances: each end told once, answers as they came."""
+
+from __future__ import annotations
+
+
+import pytest
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
+from twisted.python.failure import Failure
+
+from linenbridge import interface as face
+from linenbridge.net import resp
+from linenbridge.net.instances import load_report
+
+from tests.net.bench import SPOILT
+
+
+def test_a_pick_passes_the_command_on_and_its_answer_back_as_it_came(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    assert ("on_rpc", "id1", "look", 900_000, None, "a", "key") in bench.module.told
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    words = [b"SVC.QUERY", b"key", b"id1", b"c=look,t=a,r=1,d=500"]
+    assert line.taken() == resp.command(words)
+    line.protocol.dataReceived(b"*3\r\n$4\r\nv\r\n1\r\n$-1\r\n$16\r\nrif=7,lat_ms=2.5\r\n")
+    bench.turn()
+    assert client.taken() == b"$4\r\nv\r\n1\r\n"
+    reply = next(told for told in bench.module.told if told[0] == "on_reply")
+    assert reply[1:5] == ("id1", 0, face.OK, True) and reply[6] == {"in_flight": 7.0, "service_ms": 2.5}
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    assert line.taken().count(b"id2") == 1 and len(bench.reactor.tcpClients) == 1
+
+
+def test_answers_keep_the_order_of_the_commands(bench):
+    client = bench.client()
+    client.protocol.dataReceived(
+        resp.command([b"SVC.QUERY", b"k", b"a", b"c=look,d=9"])
+        + resp.command([b"PING"])
+        + resp.command([b"SVC.SUBMIT", b"k", b"b", b"c=charge,d=9", b"body"])
+    )
+    bench.turn()
+    bench.say((face.ABORT, "b"))
+    assert client.taken() == b""
+    bench.say((face.PUSH_BACK, "a", 1_500))
+    assert client.taken() == b"-BUSY 2\r\n+PONG\r\n-ERR aborted\r\n"
+    bench.say((face.ABORT, "a"))
+    assert client.taken() == b"" and not bench.loop.open
+
+
+@pytest.mark.parametrize(
+    "happens, outcome",
+    [
+        ("error", face.ERROR),
+        ("busy", face.FULL),
+        ("broken", face.BROKEN),
+        ("garbage", face.SPOILT),
+        ("refused", face.UNREACHED),
+        ("late", face.TIMED_OUT),
+        ("never up", face.UNREACHED),
+        ("drains", face.UNSENT),
+        ("moved", face.UNSENT),
+        ("cancelled", face.CANCELLED),
+    ],
+)
+def test_each_end_of_a_pick_is_told_once_as_the_protocol_has_it(bench, happens, outcome):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = None if happens in ("refused", "never up", "drains", "moved") else bench.up()
+    match happens:
+        case "error":
+            line.protocol.dataReceived(b"-ERR failed rif=3\r\n")
+        case "busy":
+            line.protocol.dataReceived(b"-BUSY\r\n")
+        case "broken":
+            line.lose(ConnectionLost())
+        case "garbage":
+            line.protocol.dataReceived(b"+OK\r\n")
+        case "refused":
+            bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        case "late" | "never up":
+            bench.turn(0.51)
+        case "drains":
+            bench.list(("s-1", 1, "leaving", 0), whole=False)
+        case "moved":
+            bench.list(("s-1", 3, "active", 5))
+        case "cancelled":
+            bench.say((face.CANCEL, "id1", 0))
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, outcome)] and client.taken() == b""
+    if outcome not in (face.ERROR, face.FULL) and line is not None:
+        assert not line.connected and bench.instances.descriptors.open == 0
+    bench.say((face.PUSH_BACK, "id1", 0))
+    if line is None and happens != "refused":  # It comes up after all: nothing is written to it.
+        late = bench.up()
+        assert late.taken() == b""
+    assert client.taken() == b"-BUSY\r\n" and not bench.loop.open and not bench.instances.picks
+
+
+def test_a_late_second_copy_is_told_but_not_sent_and_a_client_that_left_gets_nothing(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000), (face.PICK, "id1", "s-1", 500_000))
+    first, second = bench.up(), bench.up()
+    second.protocol.dataReceived(b"*3\r\n$1\r\n2\r\n$-1\r\n$-1\r\n")
+    first.protocol.dataReceived(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
+    bench.turn()
+    assert client.taken() == b"$1\r\n2\r\n" and len(bench.outcomes()) == 2 and not bench.loop.open
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    client.lose()
+    bench.turn()
+    assert ("on_gone", "id2") in bench.module.told and bench.loop.unanswered == 0
+    bench.turn(0.6)
+    assert not bench.loop.open
+
+
+def test_idle_connections_close_well_before_the_far_side_does_and_when_the_list_changes(bench):
+    client = bench.client()
+    for rpc in ("id1", "id2"):
+        bench.send(client, rpc)
+        bench.say((face.PICK, rpc, "s-1", 500_000))
+        line = bench.up()
+        line.protocol.dataReceived(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
+        bench.turn()
+        if rpc == "id1":
+            bench.turn(1.9)
+            assert line.connected
+            bench.turn(2.2)
+            assert not line.connected
+    bench.list(("s-1", 1, "active", 99))
+    assert not line.connected and bench.instances.descriptors.open == 0
+
+
+def test_load_reports_that_cannot_be_read_are_left_out():
+    assert load_report(b"inflight=7,util=0.5,new=1") == {"in_flight": 7.0, "busy": 0.5}
+    for spoilt in (None, b"failed", b"", b"inflight=7,queue=x", b"inflight=nan", b"inflight=-1", b"util=1e9"):
+        assert load_report(spoilt) == {}
+
+
+@pytest.mark.parametrize("answer", SPOILT)
+def test_an_answer_that_is_spoilt_may_have_run_and_its_connection_serves_nobody_else(bench, answer):
+    bench.send(bench.client(), "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    line.protocol.dataReceived(answer)
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, face.SPOILT)] and not line.connected
+    assert not bench.instances.picks and bench.instances.descriptors.open == 0
+
+
+@pytest.mark.parametrize("more", [b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n", b"\r\n", b"\x00\xff", b"*", b""])
+@pytest.mark.parametrize("late", [False, True])
+def test_what_comes_beside_a_good_answer_is_nobody_elses(bench, more, late):
+    clients = [bench.client(), bench.client()]
+    for rpc, wire in zip(("id1", "id2"), clients, strict=True):
+        bench.send(wire, rpc)
+        bench.say((face.PICK, rpc, "s-1", 500_000))
+    line, good = bench.up(), b"*3\r\n$2\r\nid\r\n$-1\r\n$-1\r\n"
+    if late:
+        line.unread = more
+    line.protocol.dataReceived(good if late else good + more)
+    bench.turn()
+    assert clients[0].taken() == b"$2\r\nid\r\n" and clients[1].taken() == b""
+    assert bench.outcomes() == [("id1", 0, face.OK)]
+    assert line.connected == (not more) and (b"id2" in line.taken()) == (not more)
+
+
+def test_a_connection_with_something_unread_takes_no_further_pick(bench):
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    line.protocol.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+    line.taken()
+    line.unread = b"*"
+    bench.send(client, "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    assert line.taken() == b"" and not line.connected and b"id2" in bench.up().taken()
+
+
+def test_a_pick_for_what_has_left_the_list_never_ran_and_its_place_is_forgotten(bench):
+    bench.send(bench.client(), "id1")
+    bench.list(("s-2", 2, "active", 0))
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    bench.turn()
+    assert bench.outcomes() == [("id1", 0, face.UNSENT)] and list(bench.instances.places) == ["s-2"]
--- /dev/null
+++ b/tests/net/test_runs.py
@@ -0,0 +1,133 @@
+"""Seeded runs of the gateway in memory before stand-ins that break."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
+from twisted.python.failure import Failure
+
+from linenbridge import interface as face
+from linenbridge.choice import Choice
+from linenbridge.net.clients import Client
+from tests.helpers import startup
+
+from tests.net.bench import SPOILT, Bench, Wire
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_the_modules_picture_of_what_is_open_and_out_is_what_is_on_the_sockets(seed):
+    """The module itself, before stand-ins that answer, spoil, break, drain and come back started anew."""
+    dice, module = Random(seed), Choice(startup(), seed, 0)
+    bench, lines, starts, wires = Bench(80, module), [], [0] * 5, [None] * 20
+    bench.list(*((f"s-{i}", i + 1, "active", 0) for i in range(5)))
+    for n in range(400):
+        at = dice.randrange(20)
+        wire = wires[at] = wires[at] if wires[at] and wires[at].connected else bench.client()
+        bench.send(wire, f"r{n}")
+        while bench.dialled < len(bench.reactor.tcpClients):
+            if dice.random() < 0.1:
+                bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            else:
+                lines.append(bench.up())
+        for line in [line for line in lines if line.connected and line.protocol.pick is not None]:
+            match dice.randrange(12):
+                case 0:
+                    line.lose(ConnectionLost())
+                case 1:
+                    line.protocol.dataReceived(dice.choice(SPOILT))
+                case 2 | 3 | 4 | 5:
+                    report = dice.choice((b"$-1\r\n", b"$5\r\nrif=3\r\n", b"$5\r\nrif=?\r\n"))
+                    line.protocol.dataReceived(b"*3\r\n$1\r\nv\r\n$-1\r\n" + report)
+                case 6:
+                    line.protocol.dataReceived(b"-BUSY\r\n")
+        if dice.random() < 0.1:
+            i = dice.randrange(5)
+            starts[i] += dice.choice((0, 5))
+            state = dice.choice(("active", "leaving", "left"))
+            bench.list((f"s-{i}", i + 1, state, starts[i]), whole=False)
+        if dice.random() < 0.3:
+            wire.lose()
+        bench.turn(dice.choice((0, 0.01, 0.08)))
+        assert set(module.rpcs) == set(bench.loop.open)
+        out = [pick.place.entry.instance for pick in bench.instances.picks.values()]
+        assert {name: out.count(name) for name in module.fleet.index} == {
+            name: module.fleet.out[i] for name, i in module.fleet.index.items()
+        }
+    assert module.fleet.others_mean > 0.0 and ("failed",) not in bench.log.counts
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_whatever_breaks_nothing_is_answered_twice_lost_or_left_open(seed):
+    dice, bench = Random(seed), Bench(descriptors=12)
+    rows = [("s-1", 1, "active", 0), ("s-2", 2, "active", 0)]
+    bench.list(*rows)
+    clients: list[Wire] = []
+    lines: list[Wire] = []
+    owed: dict[Client, int] = {}
+    for n in range(300):
+        clients = [wire for wire in clients if wire.connected]
+        lines = [wire for wire in lines if wire.connected]
+        open_rpcs = [rpc for rpc in bench.loop.open.values() if not rpc.ended]
+        match dice.randrange(9):
+            case 0 | 1:
+                if len(clients) < 6:
+                    clients.append(bench.client())
+                wire = dice.choice(clients)
+                if wire.connected:
+                    owed[wire.protocol] = owed.get(wire.protocol, 0) + 1
+                    bench.send(wire, f"r{n}")
+            case 2 | 3 if open_rpcs:
+                bench.say(
+                    (
+                        face.PICK,
+                        dice.choice(open_rpcs).id,
+                        dice.choice(("s-1", "s-2")),
+                        dice.randint(1, 400_000),
+                    )
+                )
+            case 4 if open_rpcs:
+                rpc = dice.choice(open_rpcs).id
+                bench.say(dice.choice(((face.ABORT, rpc), (face.PUSH_BACK, rpc, 0), (face.CANCEL, rpc, 0))))
+            case 5 if bench.dialled < len(bench.reactor.tcpClients):
+                if dice.random() < 0.7:
+                    lines.append(bench.up())
+                else:
+                    bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+            case 6 if lines:
+                wire = dice.choice(lines)
+                if wire.protocol.pick is not None:
+                    good = b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n"
+                    answers = (good, good + good, b"-ERR failed\r\n", b"-BUSY\r\n", b"?")
+                    wire.protocol.dataReceived(dice.choice(answers))
+            case 7 if lines or clients:
+                dice.choice(lines + clients).lose()
+            case 8:
+                bench.list(*dice.sample(rows, 2)[: dice.randint(1, 2)])
+        bench.turn(dice.choice((0, 0, 0.01, 0.3)))
+        picks = bench.instances.picks.values()
+        assert sum(rpc.out for rpc in bench.loop.open.values()) == len(picks)
+        assert all(rpc.out or not rpc.ended for rpc in bench.loop.open.values())
+        assert all((pick.line is None) == (pick in pick.place.waiting) for pick in picks)
+        for wire in clients:
+            if wire.connected:
+                answers = wire.value().count(b"\r\n") - wire.value().count(b"$1\r\n")
+                assert answers + len(wire.protocol.owed) == owed.get(wire.protocol, 0)
+    for rpc in [rpc.id for rpc in bench.loop.open.values() if not rpc.ended]:
+        bench.say((face.ABORT, rpc))
+    for wire in clients + lines:
+        wire.lose()
+    while bench.dialled < len(bench.reactor.tcpClients):
+        bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    bench.turn(1)
+    counts = bench.log.counts
+    total = {
+        kind: sum(c for names, c in counts.items() if names[0] == kind)
+        for kind in ("taken", "answered", "gone")
+    }
+    ends = sum(told[0] == "on_reply" for told in bench.module.told)
+    assert total["taken"] == total["answered"] + total["gone"] and bench.loop.unanswered == 0
+    assert ends == sum(c for names, c in counts.items() if names[0] == "picked")
+    assert not bench.loop.open and not bench.instances.picks
+    assert bench.instances.descriptors.open == bench.clients.descriptors.open == 0
--- /dev/null
+++ b/tests/net/test_streams.py
@@ -0,0 +1,182 @@
+"""The streams of discovery and the platform, and votes."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError
+from twisted.python.failure import Failure
+
+from linenbridge import interface as face
+
+from tests.net.bench import HEAD, STAGE, chunk
+
+
+def test_a_list_that_cannot_be_read_whole_ends_its_stream_and_is_asked_for_anew(bench):
+    bench.discovery.start()
+    stream = bench.up()
+    row = dict(name="s-2", address="10.0.0.2:6379", status="active", release=2, since_ms=12)
+    stream.protocol.dataReceived(HEAD + chunk(dict(index=8, snapshot=False, endpoints=[row])))
+    for bad in ({"name": "s-9"}, row | {"address": "nowhere"}, row | {"status": "act\0ve"}):
+        stream.protocol.dataReceived(chunk(dict(index=9, snapshot=True, endpoints=[row, bad])))
+        assert not stream.connected and bench.discovery.index == 8
+        bench.turn()
+        stream = bench.up()
+        assert stream.taken().startswith(b"GET /catalog/members?follow=1&since=8 HTTP/1.1\r\n")
+        stream.protocol.dataReceived(HEAD + chunk(dict(index=8, snapshot=False, endpoints=[row])))
+    bench.turn()
+    stream.protocol.dataReceived(b"junk\r\n")
+    bench.turn()
+    bench.up().protocol.dataReceived(b"noise from the first byte on\r\n\r\n")
+    bench.turn(0.1)
+    assert bench.dialled == len(bench.reactor.tcpClients)
+    bench.turn(0.2)
+    bench.up()
+    lists = [told for told in bench.module.told if told[0] == "on_list"][1:]
+    assert [(told[2], [entry.started for entry in told[1]]) for told in lists] == [(False, [13_000])] * 4
+    assert bench.log.counts["malformed", "discovery"] == 5
+
+
+def test_a_silent_stream_is_read_beside_a_second_one_and_taken_up_after_its_end(bench):
+    bench.discovery.start()
+    first = bench.up()
+    assert first.taken().startswith(b"GET /catalog/members?follow=1&since=7 HTTP/1.1\r\n")
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    first.protocol.dataReceived(head + b"1\r\n\n\r\n")
+    bench.turn(5.9)
+    assert len(bench.reactor.tcpClients) == 1
+    bench.turn(0.2)
+    second = bench.up()
+    assert first.connected
+    second.protocol.dataReceived(head + b"1\r\n\n\r\n")
+    assert not first.connected and second.connected
+    second.lose()
+    bench.turn(0.3)
+    assert len(bench.reactor.tcpClients) == 3
+
+
+def changed(index: int, name: str) -> bytes:
+    row = dict(name=name, address="10.0.0.3:6379", status="active", release=1)
+    return chunk(dict(index=index, snapshot=False, endpoints=[row]))
+
+
+def test_a_stream_that_moves_is_read_at_the_old_address_until_the_new_one_speaks(bench):
+    bench.discovery.start()
+    old = bench.up()
+    old.protocol.dataReceived(HEAD + changed(8, "s-8"))
+    bench.discovery.move(("10.0.0.8", 81))
+    bench.discovery.move(("10.0.0.8", 81))
+    assert bench.reactor.tcpClients[-1][:2] == ("10.0.0.8", 81) and len(bench.reactor.tcpClients) == 2
+    old.protocol.dataReceived(changed(9, "s-9"))
+    new = bench.up()
+    assert old.connected and b"since=9 HTTP/1.1\r\nHost: 10.0.0.8:81\r\n" in new.taken()
+    old.unread = changed(10, "s-10")
+    new.protocol.dataReceived(HEAD + changed(9, "s-9"))
+    assert not old.connected and new.connected
+    bench.turn(0.5)
+    told = [entries[0].instance for name, entries, *_ in bench.module.told[1:] if name == "on_list"]
+    assert told == ["s-8", "s-9", "s-10"] and len(bench.reactor.tcpClients) == 2
+
+
+def test_an_old_address_that_closes_first_is_not_taken_up_again(bench):
+    bench.platform.start()
+    old = bench.up()
+    old.protocol.dataReceived(HEAD + chunk({}))
+    bench.platform.move(("10.0.0.8", 81))
+    bench.platform.move(("10.0.0.8", 82))
+    coming = bench.reactor.tcpClients[1:]
+    assert [dialled[:2] for dialled in coming] == [("10.0.0.8", 81), ("10.0.0.8", 82)]
+    old.lose()
+    bench.dialled += 1
+    new = bench.up()
+    new.protocol.dataReceived(HEAD + chunk(dict(type="stage", object=STAGE)))
+    bench.say((face.VOTE, 2, 0, face.BACK))
+    bench.turn(0.5)
+    assert [dialled[:2] for dialled in bench.reactor.tcpClients[3:]] == [("10.0.0.8", 82)] and new.connected
+
+
+def test_news_of_the_feed_reach_the_module_in_its_units(bench):
+    bench.turn(3)
+    tally = dict(version=2, kind="look", requests=57, failures=2, avgMs=18.5, observedAgoMs=900)
+    lines = [
+        dict(type="stage", object=STAGE),
+        dict(type="tally", object=tally),
+        {},
+        dict(type="flag", object=dict(pod="s-1", kind="look", observedAgoMs=3)),
+        dict(type="flag", object=dict(pod="s-1", kind="nothing")),
+    ]
+    for line in lines:
+        bench.platform.told(memoryview(json.dumps(line).encode()))
+    bench.turn()
+    assert ("on_stage", 2, 0, face.ON_TRIAL, 0.2, False, True, False) in bench.module.told
+    assert ("on_tally", 2, "look", 57, 2, 18_500, 2_100_000) in bench.module.told
+    flags = [told for told in bench.module.told if told[0] == "on_flag"]
+    assert flags == [("on_flag", "s-1", "look", 2_997_000)]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{}}",
+        b'{"type":"stxge","object":{}}',
+        b'{"type":"stage","object":{"version":2,"step":0,"status":"testxng","maxWeight":1,"observedAgoMs":1}}',
+        b'{"type":"tally","object":{}}',
+        b'{"type":"flag","object":{"pod":7,"kind":"look"}}',
+    ],
+)
+def test_a_line_of_the_feed_that_cannot_be_read_ends_it_and_it_is_taken_up_at_once(bench, line):
+    bench.platform.start()
+    feed, heard = bench.up(), len(bench.module.told)
+    feed.protocol.dataReceived(HEAD + chunk({}) + b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
+    assert not feed.connected
+    bench.turn()
+    bench.up().protocol.dataReceived(HEAD + chunk(dict(type="stage", object=STAGE)))
+    bench.turn()
+    assert [told[0] for told in bench.module.told[heard:]] == ["on_stage"]
+    assert bench.log.counts["malformed", "feed"] == 1
+
+
+@pytest.mark.parametrize(
+    "happens, valid, moot",
+    [
+        ("200", True, False),
+        ("409", False, True),
+        ("429", False, False),
+        ("500", False, False),
+        ("garbage", False, False),
+        ("409 spoilt", False, False),
+        ("endless", False, False),
+        ("broken", False, False),
+        ("refused", False, False),
+        ("silent", False, False),
+    ],
+)
+def test_a_vote_is_sent_once_and_what_became_of_it_is_told_once(bench, happens, valid, moot):
+    bench.say((face.VOTE, 2, 0, face.BACK))
+    if happens == "refused":
+        bench.dial().clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+    else:
+        call = bench.up()
+        head, body = call.taken().split(b"\r\n\r\n")
+        assert head.startswith(b"POST /api/ballots HTTP/1.1\r\n")
+        assert json.loads(body) == {"version": 2, "step": 0, "vote": "back"}
+    errors = {"409": "moot", "429": "limit", "500": "error", "409 spoilt": "mxxt"}
+    body = json.dumps({"error": errors[happens]} if happens in errors else STAGE).encode()
+    match happens:
+        case "endless":
+            call.protocol.dataReceived(b"HTTP/1.1 200 X\r\nContent-Length: 999999\r\n\r\n" + bytes(70_000))
+        case "200" | "409" | "429" | "500" | "409 spoilt":
+            call.protocol.dataReceived(
+                b"HTTP/1.1 %b X\r\nContent-Length: %d\r\n\r\n%b" % (happens[:3].encode(), len(body), body)
+            )
+        case "garbage":
+            call.protocol.dataReceived(b"what?\r\n\r\n")
+        case "broken":
+            call.lose(ConnectionLost())
+        case "silent":
+            bench.turn(1.1)
+    bench.turn()
+    bench.turn(5)
+    votes = [told for told in bench.module.told if told[0] == "on_stage" and told[5]]
+    assert [told[6:] for told in votes] == [(valid, moot)] and len(bench.reactor.tcpClients) == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,8 @@
 import pytest
 
 from linenbridge import interface as face
-from linenbridge.choice import SECOND, Choice
+from linenbridge.choice import Choice
+from linenbridge.interface import SECOND
 from tests.helpers import LONG_AGO, MS, entry, startup
 
 SPAN, FALL, SLACK = 4 * SECOND, 2 * SECOND, 20 * MS
