Small gateways judge a released build by own errors where no earlier one is left

In the last build 308, bad, passed its last stage at 920 s; the one busy gateway of three alarmed at 923 s and voted 'back' to the end, the two small ones had 806 outcomes by 1,202 s and no alarm: 'back' needs two of three. Ruled out: refused votes (the standing 'back' was taken), the split of the module (same record). Cause: Evidence._note_outcome takes tallies for a small gateway's own outcomes; with no earlier build ready _hear measures tallies against the build's best other method, and a build that fails all methods alike shows nothing. Change: where no earlier build is ready a small gateway hears its own outcomes too, in sums of their own. The test fails without it.

--- a/linenbridge/choice/evidence.py
+++ b/linenbridge/choice/evidence.py
@@ -53,7 +53,9 @@
             warm = outcome == OK and self._warmth(pick.instance, pick.sent) >= 1.0
             counts = Counts(1, int(outcome != OK), int(warm), took * warm)
             self.tell_apart(key, counts)
-            if not self._few(now) or now > self.tallied_at + TALLY_STALE * self.plan.tally_period:
+            stale = now > self.tallied_at + TALLY_STALE * self.plan.tally_period
+            # With no earlier build ready tallies tell errors from the hour by the methods alone: own ones do.
+            if not self._few(now) or stale or not self._comparable(pick.build):
                 self._hear(*key, counts, pick.instance)
         if outcome == OK:
             self.moves(rpc.key, pick.build)
@@ -71,14 +73,15 @@
             earlier, p0 = self.records.earlier(m, build, self.withdrawn), P0_FLOOR
             if earlier:
                 p0 = (earlier.failed + P0_FLOOR * P0_PRIOR) / (earlier.outcomes + P0_PRIOR)
-            if i is None and not self._comparable(build):
+            if hour := i is None and not self._comparable(build):
                 # Tallies can't tell a time-out from an error: the build's best other method shows the hour.
                 p0 = max(p0, HOUR_P0, min(self.records.other_failures(build, m), default=P0_MOST))
             p0 = min(max(P0_FLOOR, p0), P0_MOST)
             for bit, step in P1_STEPS.items():
                 up, down = log((p0 + step) / p0), log((1 - p0 - step) / (1 - p0))
                 z = counts.failed * up + (counts.picks - counts.failed) * down
-                self._sum((m, bit), min(z, most), (p0 + step) * up + (1 - p0 - step) * down, i, p0)
+                divergence = (p0 + step) * up + (1 - p0 - step) * down
+                self._sum((m, bit + " this hour" * hour), min(z, most), divergence, i, p0)
             if counts.served and earlier and earlier.outcomes >= P0_PRIOR and self._comparable(build):
                 ratio = min(counts.time / counts.served / (earlier.mean or inf), SLOW_CLIP)
                 z = counts.served * (ratio - 1 - SLOW_STEP / 2) * SLOW_STEP / SLOW_SPREAD
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -447,3 +447,19 @@
     for w, sent in ((1.0, []), (2.6, [(face.VOTE, 2, 1, face.NO_VOTE)])):
         gateway.sums.by_key[0, "slow"] = w
         assert [decision for decision in pull(gateway, SECOND) if decision[0] == face.VOTE] == sent
+
+
+def test_a_small_gateway_judges_a_released_build_by_its_own_errors_where_no_earlier_one_is_left():
+    """Seen at three gateways: one alarmed, the others heard tallies alone, in which all methods failed alike."""
+    gateway = running(gateways=3, tally_period=SECOND, back_votes=2)
+    now, number = 10 * SECOND, 0
+    gateway.on_list(now, [entry(n, build=2) for n in range(1, 5)], whole=True, answers=True)
+    gateway.on_stage(now, 2, 1, face.RELEASED, 1.0, vote=False, valid=True)
+    while now < 70 * SECOND and not gateway.sums.alarms:
+        now, number = now + SECOND // 2, number + 1
+        if number % 2:
+            for method in gateway.methods:
+                gateway.on_tally(now, 2, method.name, 10, 1, 80 * MS, now)
+        outcome(gateway, now, f"r{number}", face.ERROR if number % 5 == 0 else face.OK)
+    assert gateway._few(now) and gateway.sums.alarms
+    assert gateway._wanted(now) == face.BACK
