Lease cores of the fleet, explored whole: a seat grants, an asker holds, a seat returns

Need: fleet-wide tasks held by one member at a time while members break, stall or lose contact; gateways shared nothing but votes. Change: linenbridge/fleet/leases: a seat grants each place to one member at a time, an asker counts majorities from when it asked and looks at its clock at the act, a seat that may have forgotten lets the longest lease run out and hears from so many others that every majority it was part of is among them; changes of the council seat by seat. Errors and refusals have types with advice. Not imported by the platform's gateway. Each of 11 guards taken away breaks on a written schedule. Found on the way: a council whose first seat had founded left the others without memory for good; a seat now takes another's word that it was blank at the founding.

--- /dev/null
+++ b/linenbridge/fleet/errors.py
@@ -0,0 +1,40 @@
+"""The ground floor of all errors in the fleet's parts: what happened, where, and what an operator can do.
+
+Owns the base and the walk over its kinds. It must never know a part of the fleet.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import ClassVar
+
+
+class FleetError(Exception):
+    """`what` happened, `where` (a file's place, a member, a task), and `advice`, which each kind states."""
+
+    advice: ClassVar[str] = ""
+
+    def __init__(self, what: str, where: str = "") -> None:
+        super().__init__(what, where)
+        self.what, self.where = what, where
+
+    def __str__(self) -> str:
+        place = f"{self.where}: " if self.where else ""
+        return f"{place}{self.what}; {self.advice}"
+
+    def fields(self) -> dict[str, str]:
+        """As plain data, for a line of the log."""
+        return {"kind": type(self).__name__, "what": self.what, "where": self.where, "do": self.advice}
+
+
+class Refusal(FleetError):
+    """What a core gives out as its no. `code` goes over the wire."""
+
+    code: ClassVar[str] = ""
+
+
+def kinds(base: type[FleetError] = FleetError) -> Iterator[type[FleetError]]:
+    """All kinds that are imported by now, in the order of their definition."""
+    for kind in base.__subclasses__():
+        yield kind
+        yield from kinds(kind)
--- /dev/null
+++ b/linenbridge/fleet/leases/errors.py
@@ -0,0 +1,89 @@
+"""What goes wrong with leases, and what seats refuse.
+
+Owns the words only. It must never decide when one of them applies.
+"""
+
+from __future__ import annotations
+
+from linenbridge.fleet.errors import FleetError, Refusal
+
+
+class LeaseError(FleetError):
+    """Anything about leases."""
+
+
+class HeldByAnother(Refusal):
+    code = "held"
+    advice = "nothing to do: the place is free again when its holder leaves or its lease runs out"
+
+
+class BehindOthers(Refusal):
+    code = "behind"
+    advice = "nothing to do: members that asked earlier come first"
+
+
+class OlderTerm(Refusal):
+    code = "older"
+    advice = "nothing to do: the member asks again with a newer term"
+
+
+class LeaseTooLong(Refusal):
+    code = "too-long"
+    advice = "set the same `lease` in the settings of all members"
+
+
+class SeatAside(Refusal):
+    code = "aside"
+    advice = "wait for the longest lease after the seat's start; if it stays so, look at the seat's own log"
+
+
+class OtherGeneration(Refusal):
+    code = "generation"
+    advice = "hand the newer settings to all members and send each SIGHUP"
+
+
+class CouncilLost(LeaseError):
+    """No majority of the council answers: nothing is granted."""
+
+    advice = (
+        "start the council's members that are down, or mend the links to them; tasks stay unheld until then"
+    )
+
+
+class MemoryLost(LeaseError):
+    """A seat without memory can't hear enough others that have theirs."""
+
+    advice = (
+        "start the other seats with their stores; if all stores are gone, set `first-term` above every term "
+        "that was ever used and start all seats anew"
+    )
+
+
+class DiskWentBack(LeaseError):
+    """A seat's store is older than what others have heard from it."""
+
+    advice = "the seat stands aside and learns anew; find out who restored its store, and never restore one"
+
+
+class StoreUnusable(LeaseError):
+    """Promises can't be kept on disk: the seat grants nothing."""
+
+    advice = "give the store a disk that can be written, with room; the seat takes part again after a restart"
+
+
+class StoreTorn(LeaseError):
+    """The store can't be read whole."""
+
+    advice = "move the damaged file away and restart: the seat learns anew from the others"
+
+
+class ClockBeyondBound(LeaseError):
+    """Two clocks were seen to run apart by more than the settings allow."""
+
+    advice = "mend the machine's clock or raise `clocks-apart`; until then two members may act at once"
+
+
+REFUSALS = {
+    kind.code: kind
+    for kind in (HeldByAnother, BehindOthers, OlderTerm, LeaseTooLong, SeatAside, OtherGeneration)
+}
--- /dev/null
+++ b/linenbridge/fleet/leases/hold.py
@@ -0,0 +1,82 @@
+"""One task at one member: where it stands between asking and holding.
+
+Decides without I/O. It must never let an answer to an earlier ask count for a later one.
+"""
+
+from __future__ import annotations
+
+from linenbridge.fleet.leases.errors import HeldByAnother
+from linenbridge.fleet.leases.quorum import Council, supported_until
+from linenbridge.fleet.leases.terms import Pace, acts_until
+from linenbridge.fleet.leases.words import No, Stands
+
+WAITING, TAKING, HOLDING, LEAVING = "waiting", "taking", "holding", "leaving"
+
+
+class Hold:
+    """`term` is held, `asked_term` asked for; `support` holds by seat the term it gave and when that was
+    asked."""
+
+    def __init__(self, task: str, places: int, now: int) -> None:
+        self.task, self.places, self.ticket = task, places, 0
+        self.state, self.from_at = WAITING, now
+        self.place, self.term, self.asked_term, self.newest = 0, 0, 0, 0
+        self.support: dict[str, tuple[int, int]] = {}
+        self.against: set[str] = set()
+        self.given: tuple[int, int] | None = None  # place and term that are not wanted any more
+        self.kept = 0  # until when a council before the present one keeps the place
+
+    def yes(self, seat: str, term: int, asked: int) -> None:
+        self.support[seat] = max(self.support.get(seat, (0, 0)), (term, asked))
+
+    def refused(self, seat: str, no: No) -> None:
+        if (no.place, no.term) == (self.place, self.asked_term):
+            if self.state == TAKING:
+                self.against.add(seat)
+            if no.code != HeldByAnother.code:
+                self.newest = max(self.newest, no.newest)
+
+    def until(self, council: Council, pace: Pace, term: int | None = None) -> int | None:
+        """When the term ends on this member's clock; None where no majority supports it. A seat that has
+        given a newer one to this member keeps the place for it just so."""
+        least = self.term if term is None else term
+        asked = {seat: at for seat, (given, at) in self.support.items() if given >= least}
+        since = supported_until(council, asked)
+        until = self.kept if least == self.term else 0
+        return max(until, acts_until(pace, since)) if since is not None else until or None
+
+    def fits(self, row: Stands) -> bool:
+        """Whether a seat's row speaks of as many places as this member's settings do."""
+        return row.task == self.task and len(row.terms) == len(row.left) == self.places
+
+    def next_term(self) -> int:
+        """Where a seat knows a newer term of this place, the holder asks for one that is newer yet."""
+        return self.asked_term if self.newest <= self.asked_term else self.newest + 1
+
+    def choose(self, rows: list[Stands], free: list[int], give_up: int) -> bool:
+        """Take the free place that is this member's by its position in line, if there is one."""
+        position = max(row.position for row in rows)
+        if position >= len(free):
+            return False
+        self.place = free[position]
+        terms = [row.terms[self.place] for row in rows]
+        self.asked_term = 1 + max([self.newest, self.asked_term, *terms])
+        self.state, self.given, self.support, self.against, self.kept = TAKING, None, {}, set(), 0
+        self.from_at = give_up
+        return True
+
+    def free_in(self, rows: list[Stands]) -> int | None:
+        """How long until a place is free at most seats, as they see it; None where none runs out soon."""
+        ends = [sorted(row.left[place] for row in rows)[len(rows) // 2] for place in range(self.places)]
+        soon = [end for end in ends if end > 0]
+        return min(soon, default=None)
+
+    def wait_again(self, at: int) -> None:
+        """What seats may have given meanwhile goes back to them."""
+        self.given = (self.place, max(self.term, self.asked_term))
+        self.state, self.from_at, self.support, self.kept = WAITING, at, {}, 0
+
+    def leave(self, until: int) -> None:
+        if self.asked_term:
+            self.given = (self.place, max(self.term, self.asked_term))
+        self.state, self.from_at, self.support = LEAVING, until, {}
--- /dev/null
+++ b/tests/fleet/explore/mutants.py
@@ -0,0 +1,134 @@
+"""The guards of the lease cores, each taken away on purpose; what is explored then must break.
+
+Owns the mutants alone. Each is a context that patches one guard and puts it back; the words say which.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from linenbridge.fleet.leases import asker, errors, guards, hold, quorum, returning, seat
+
+
+@contextmanager
+def counts_from_the_answer() -> Iterator[None]:
+    """The holder counts its lease from when a seat answered, not from when it asked."""
+    taken = asker.Asker._taken
+
+    def late(self, now, held, name, place, term, asked):
+        return taken(self, now, held, name, place, term, now)
+
+    with patch.object(asker.Asker, "_taken", late):
+        yield
+
+
+@contextmanager
+def forgets_the_clocks() -> Iterator[None]:
+    """The holder trusts its clock to run as fast as the seats'."""
+    with patch.object(hold, "acts_until", lambda pace, asked: asked + pace.length):
+        yield
+
+
+@contextmanager
+def acts_without_a_look_at_the_clock() -> Iterator[None]:
+    """The holder takes it that it still holds what it held."""
+
+    def may_act(self, now, task):
+        held = self.holds.get(task)
+        return held.term if held is not None and held.state == hold.HOLDING else None
+
+    with patch.object(asker.Asker, "may_act", may_act):
+        yield
+
+
+@contextmanager
+def half_is_enough() -> Iterator[None]:
+    """One seat fewer than a majority carries."""
+    with patch.object(quorum, "majority", lambda seats: max(1, len(seats) // 2)):
+        yield
+
+
+@contextmanager
+def grants_what_is_held() -> Iterator[None]:
+    """The seat does not keep a place for its holder."""
+    with patch.object(guards.Guards, "left", lambda self, key, now: 0):
+        yield
+
+
+@contextmanager
+def grants_any_term() -> Iterator[None]:
+    """The seat grants terms that are not newer than what it knows."""
+    plain = seat.Seat._refusal
+
+    def lax(self, now, name, take):
+        found = plain(self, now, name, take)
+        return None if found is errors.OlderTerm else found
+
+    choose = hold.Hold.choose
+
+    def first(self, rows, free, give_up):
+        found = choose(self, rows, free, give_up)
+        if found:
+            self.asked_term = 1
+        return found
+
+    with patch.object(seat.Seat, "_refusal", lax), patch.object(hold.Hold, "choose", first):
+        yield
+
+
+@contextmanager
+def does_not_stand_aside() -> Iterator[None]:
+    """A seat that starts anew does not let the longest lease run out."""
+    with patch.object(returning, "stands_aside", lambda pace: 0):
+        yield
+
+
+@contextmanager
+def returns_alone() -> Iterator[None]:
+    """A seat that starts anew hears nobody, and grants at once."""
+    with (
+        patch.object(returning, "stands_aside", lambda pace: 0),
+        patch.object(returning.Returning, "_grounds", lambda self: "recalled"),
+    ):
+        yield
+
+
+@contextmanager
+def learns_no_terms() -> Iterator[None]:
+    """A seat that comes back takes in nothing of what the others remember."""
+    with patch.object(guards.Guards, "merge", lambda self, place, until: False):
+        yield
+
+
+@contextmanager
+def moves_without_settling() -> Iterator[None]:
+    """A seat grants under a new council at once, without hearing the old one."""
+
+    def moves(self, now, council):
+        self.council, self.settled = council, council.generation
+
+    with patch.object(returning.Returning, "moves", moves):
+        yield
+
+
+@contextmanager
+def answers_any_generation() -> Iterator[None]:
+    """A seat grants to askers that count by another council."""
+
+    def aside(self, word):
+        return errors.SeatAside.code if self.broken or not self.returning.done else ""
+
+    with patch.object(seat.Seat, "_aside", aside):
+        yield
+
+
+MUTANTS = {
+    mutant.__name__: mutant
+    for mutant in (
+        counts_from_the_answer, forgets_the_clocks, acts_without_a_look_at_the_clock, half_is_enough,
+        grants_what_is_held, grants_any_term, does_not_stand_aside, returns_alone, learns_no_terms,
+        moves_without_settling, answers_any_generation,
+    )
+}  # fmt: skip
