Members hold leases between processes: links, seats' stores, acts with terms, witnesses

Need: the lease cores had no host; an operator could not run them. Not imported by the platform's gateway. Planted breaches are found.

--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -41,6 +41,9 @@
 ConfigFile = Annotated[
     Path, typer.Option("--config", "-c", help="The platform's configuration, in JSON.", envvar="LB_CONFIG")
 ]
+OptionalConfigFile = Annotated[
+    Path | None, typer.Option("--config", "-c", help="The platform's configuration.", envvar="LB_CONFIG")
+]
 AsJson = Annotated[bool, typer.Option("--json", help="Print one JSON object.")]
 
 
@@ -55,21 +58,39 @@
     return station({**os.environ, "LB_CONFIG": str(config)})
 
 
-def _run(settings_file: Path, config: Path, resp: bool) -> None:
+def _run(settings_file: Path, config: Path | None, resp: bool) -> None:
     from linenbridge.processor.stand import run as stand
 
     try:
-        at = _station(config)
-        os.environ["LB_CONFIG"] = str(config)  # A reload reads the same file.
-        code = stand(read(str(settings_file)), at, resp)
+        premises = read(str(settings_file))
+        if config is None:
+            code = _witness(premises)
+        else:
+            at = _station(config)
+            os.environ["LB_CONFIG"] = str(config)  # A reload reads the same file.
+            code = stand(premises, at, resp)
     except (PremisesError, ValueError, OSError) as error:
         raise _refuse(error) from None
     raise typer.Exit(code)
 
 
+def _witness(premises: Premises) -> int:
+    """Settings with a fleet alone need no configuration of the platform: a member that serves no RPCs."""
+    from linenbridge.fleet.hosting.witness import run as witness
+    from linenbridge.fleet.premises import fleet
+
+    told = fleet(premises)
+    if told is None or premises.part("processor") is not None:
+        raise PremisesError(f"{premises.path}: only a fleet alone runs without --config")
+    return witness(premises, told)
+
+
 @app.command()
-def serve(settings_file: SettingsFile, config: ConfigFile) -> None:
-    """Serve clients by RESP2 and proxies by external processing, from one process."""
+def serve(settings_file: SettingsFile, config: OptionalConfigFile = None) -> None:
+    """Serve clients by RESP2 and proxies by external processing, from one process.
+
+    With settings that hold a fleet alone, and no configuration: a member that serves no RPCs (a witness).
+    """
     _run(settings_file, config, resp=True)
 
 
--- /dev/null
+++ b/linenbridge/fleet/hosting/errands.py
@@ -0,0 +1,86 @@
+"""Acts of a task's holder: a request to the thing acted on, with the term that it is to check.
+
+Owns the requests. The clock is looked at right before each one is sent; one that is refused for an older term
+is said and not repeated. It must never act for a task that this member does not hold at that moment.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer
+from zope.interface import implementer
+
+from linenbridge.fleet.premises import Errand
+from linenbridge.net.log import Log
+
+STALE = 409  # the answer of a thing that has seen a newer term
+TYPE = Headers({b"content-type": [b"application/json"]})
+
+
+@implementer(IBodyProducer)
+class Body:
+    """A short body, written at once."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data, self.length = data, len(data)
+
+    def startProducing(self, consumer: Any) -> Deferred:
+        consumer.write(self.data)
+        done = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None: ...
+    def resumeProducing(self) -> None: ...
+    def stopProducing(self) -> None: ...
+
+
+class Errands:
+    """`term(task)` is asked at each act: the term and place under which this member may act now, or None."""
+
+    def __init__(
+        self, name: str, errands: tuple[Errand, ...], reactor: Any, log: Log,
+        term: Callable[[str], tuple[int, int] | None],
+    ) -> None:  # fmt: skip
+        self.name, self.reactor, self.log, self.term = name, reactor, log, term
+        self.agent = Agent(reactor, connectTimeout=1.0, pool=HTTPConnectionPool(reactor, persistent=False))
+        self.timers: dict[str, Any] = {}
+        for errand in errands:
+            if errand.act is not None:
+                self._again(errand)
+
+    def _again(self, errand: Errand) -> None:
+        self.timers[errand.task] = self.reactor.callLater(errand.every / 1e6, self._act, errand)
+
+    def _act(self, errand: Errand) -> None:
+        self._again(errand)
+        held = self.term(errand.task)
+        if held is None:
+            return
+        term, place = held
+        said = {"task": errand.task, "place": place, "term": term, "by": self.name}
+        host, port = errand.act
+        asked = self.agent.request(
+            b"POST", f"http://{host}:{port}/act".encode(), TYPE, Body(msgspec.json.encode(said))
+        )
+        asked.addCallbacks(self._done, self._failed, callbackArgs=(said,), errbackArgs=(said,))
+
+    def _done(self, response: Any, said: dict) -> None:
+        self.log.count("act", str(response.code))
+        if response.code == STALE:
+            self.log.event("act.refused", **said)
+        response.deliverBody  # noqa: B018  (the body is of no interest; the connection closes with it)
+
+    def _failed(self, failure: Any, said: dict) -> None:
+        self.log.rarely("act.failed", said["task"], error=failure.getErrorMessage(), **said)
+
+    def close(self) -> None:
+        for timer in self.timers.values():
+            if timer.active():
+                timer.cancel()
--- /dev/null
+++ b/linenbridge/fleet/hosting/witness.py
@@ -0,0 +1,49 @@
+"""A process that is a member of the fleet and serves no RPCs: a witness.
+
+Owns its start and end. It must never import what serves RPCs.
+"""
+
+from __future__ import annotations
+
+import secrets
+import sys
+
+from linenbridge.fleet.hosting.member import Member
+from linenbridge.fleet.premises import FleetTold, fleet
+from linenbridge.house.log import structured
+from linenbridge.premises.read import Premises, PremisesError, read
+from linenbridge.process import lifetime
+
+
+def run(premises: Premises, told: FleetTold) -> int:
+    """One process until its end; the exit code."""
+    log = structured(sys.stderr.buffer, premises.log_level)
+    reactor = lifetime.begin(log)
+    member = Member(told, reactor, log, secrets.randbits(60))
+    log.event("started", member=told.member)
+
+    def stop() -> None:
+        log.event("stopping")
+        member.leave(reactor.stop)
+
+    def counters() -> None:
+        log.counters(**member.facts())
+
+    def anew() -> None:
+        again(premises.path, member, log)
+
+    lifetime.run(reactor, log, stop, counters, anew)
+    return 0
+
+
+def again(path: str, member: Member, log) -> None:  # noqa: ANN001
+    """The settings read anew: taken up whole, or not at all."""
+    try:
+        told = fleet(read(path))
+        if told is None or told.member != member.told.member:
+            raise PremisesError(f"{path}: element 'fleet': it names another member, or is gone")
+    except PremisesError as error:
+        log.event("fleet.refused", error=str(error))
+        return
+    member.take_up(told)
+    log.event("fleet.reloaded", generation=told.council.generation)
--- a/linenbridge/fleet/leases/asker.py
+++ b/linenbridge/fleet/leases/asker.py
@@ -40,7 +40,7 @@
         self.number, self.beat_at = 0, now
         self.sent: dict[int, int] = {}  # when each round of late was sent
         self.answers: dict[int, dict[str, Said]] = {}  # to those rounds, by seat
-        self.heard_at, self.lost_said = now, False
+        self.heard_at, self.lost_said = now + pace.longest, False  # seats may stand aside after a start
         self.stamps: dict[str, int] = {}  # the newest that each seat was heard to have kept
         self.told_generation = 0
 
--- a/linenbridge/fleet/leases/errors.py
+++ b/linenbridge/fleet/leases/errors.py
@@ -77,12 +77,6 @@
     advice = "move the damaged file away and restart: the seat learns anew from the others"
 
 
-class ClockBeyondBound(LeaseError):
-    """Two clocks were seen to run apart by more than the settings allow."""
-
-    advice = "mend the machine's clock or raise `clocks-apart`; until then two members may act at once"
-
-
 REFUSALS = {
     kind.code: kind
     for kind in (HeldByAnother, BehindOthers, OlderTerm, LeaseTooLong, SeatAside, OtherGeneration)
--- /dev/null
+++ b/linenbridge/fleet/premises.py
@@ -0,0 +1,142 @@
+"""What the settings say to the fleet's part: the element `fleet`, from the checked XML to plain objects.
+
+Owns what the element's words stand for, and which of them can't stand together. Each wrong place is one line,
+`file:line:column: what; what to do`. It must never hold a tuned value: defaults stand in the schema.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lxml import etree
+
+from linenbridge.fleet.errors import FleetError
+from linenbridge.fleet.leases.quorum import Council
+from linenbridge.fleet.leases.terms import Pace
+from linenbridge.net.discovery import host_port
+from linenbridge.premises.read import SPACE, Premises, PremisesError, attributes, duration
+
+SEATS = (3, 7)
+RESTARTS = "restarts"  # the task whose places are the turns of planned restarts
+
+
+class FleetSettingsError(FleetError):
+    """One wrong place in the element `fleet`."""
+
+    advice = "mend the settings; until then the member goes on by the earlier ones, or does not start"
+
+    def __init__(self, what: str, where: str = "", do: str = "") -> None:
+        super().__init__(what, where)
+        self.do = do or self.advice
+
+    def __str__(self) -> str:
+        return f"{self.where}: {self.what}; {self.do}"
+
+
+@dataclass(frozen=True, slots=True)
+class Errand:
+    """One task: how many hold it at once, and where its holder reports each act, if anywhere."""
+
+    task: str
+    places: int
+    act: tuple[str, int] | None
+    every: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetTold:
+    """All that the settings say of the fleet. Times in microseconds."""
+
+    member: str
+    listen: tuple[str, int]
+    store: str
+    trusted: bool
+    pace: Pace
+    members: dict[str, tuple[str, int]]
+    council: Council
+    first_term: int
+    errands: tuple[Errand, ...]
+    restarts_within: int
+
+    def sits(self) -> bool:
+        """Whether this member has a seat on the council."""
+        return self.member in self.council.everyone()
+
+
+def fleet(premises: Premises) -> FleetTold | None:
+    """The element, or None where the file has none; PremisesError names every wrong place, a line each."""
+    element = premises.part("fleet")
+    if element is None:
+        return None
+    wrong = list[FleetSettingsError]()
+
+    def refuse(at: etree._Element, what: str, do: str) -> None:
+        wrong.append(FleetSettingsError(what, premises.place(at), do))
+
+    said = attributes(element, "fleet")
+    lease, longest, beat = (duration(said[name]) for name in ("lease", "longest", "beat"))
+    apart = round(float(said["clocks-apart"].rstrip("%")) * 10_000)
+    if longest < lease:
+        refuse(element, "the lease is longer than `longest`", "raise `longest` at all members first")
+    if beat * 3 > lease:
+        refuse(element, "a lease has to last three beats", "shorten `beat` or lengthen `lease`")
+    if apart >= 500_000:
+        refuse(element, "clocks may not run apart by half", "name the bound that the machines' clocks keep")
+    members = dict[str, tuple[str, int]]()
+    for row in element.iterchildren(f"{SPACE}member"):
+        if row.get("name") in members or row.get("name") == said["member"]:
+            refuse(row, f"two members are named {row.get('name')}", "give each member a name of its own")
+        members[row.get("name")] = host_port(row.get("address").replace("[", "").replace("]", ""))
+    council = _council(element.find(f"{SPACE}council"), said["member"], members, refuse)
+    errands = list[Errand]()
+    for row in element.iterchildren(f"{SPACE}task"):
+        words = attributes(row, "task")
+        if words["name"] in (RESTARTS, *(errand.task for errand in errands)):
+            refuse(row, f"the task {words['name']} is there already", "name it once")
+        if int(words["places"]) > 64:
+            refuse(row, "a task has 64 places at most", "lower `places`")
+        act = host_port(words["act"]) if "act" in words else None
+        errands.append(Errand(words["name"], int(words["places"]), act, duration(words["every"])))
+    within = 0
+    if (row := element.find(f"{SPACE}restarts")) is not None:
+        words = attributes(row, "restarts")
+        within = duration(words["within"])
+        errands.append(Errand(RESTARTS, int(words["at-once"]), None, 0))
+    if wrong:
+        raise PremisesError("\n".join(str(error) for error in wrong))
+    first_term = int(attributes(element.find(f"{SPACE}council"), "council")["first-term"])
+    return FleetTold(
+        said["member"], host_port(said["listen"].replace("[", "").replace("]", "")),
+        premises.beside(said["store"]),
+        said["store-never-goes-back"] in ("true", "1"), Pace(lease, longest, apart, beat), members, council,
+        first_term, tuple(errands), within,
+    )  # fmt: skip
+
+
+def _council(element: etree._Element, own: str, members: dict, refuse) -> Council:  # noqa: ANN001
+    now, before, changes = list[str](), list[str](), 0
+    for row in element.iterchildren(f"{SPACE}seat"):
+        name, joins, leaves = (
+            row.get("name"),
+            *(row.get(word) in ("true", "1") for word in ("joins", "leaves")),
+        )
+        changes += joins or leaves
+        if name != own and name not in members:
+            refuse(row, f"nobody is named {name}", "add the member with its address, or mend the name")
+        if name in now or name in before:
+            refuse(row, f"{name} sits there already", "name each seat once")
+        if joins and leaves:
+            refuse(row, f"{name} can't join and leave", "say one of the two")
+        if not leaves:
+            now.append(name)
+        if not joins:
+            before.append(name)
+    if changes > 1:
+        refuse(
+            element, "two seats change at once", "change one seat, wait until all seats say `seat.returned`"
+        )
+    if not SEATS[0] <= len(now) <= SEATS[1]:
+        refuse(
+            element, f"a council has {SEATS[0]} to {SEATS[1]} seats, not {len(now)}", "add or remove seats"
+        )
+    return Council(int(attributes(element, "council")["generation"]), tuple(now), tuple(before))
--- /dev/null
+++ b/linenbridge/fleet/store/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives the process: a seat's promises."""
--- a/linenbridge/premises/read.py
+++ b/linenbridge/premises/read.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import re
 from dataclasses import dataclass
 from functools import cache
 from importlib import resources
@@ -31,6 +32,7 @@
     path: str
     root: etree._Element
     log_level: str = "info"
+    lines: tuple[bytes, ...] = ()
 
     @property
     def folder(self) -> str:
@@ -44,6 +46,15 @@
         """A file named in the settings: its path is told from the settings' folder; "" stays so."""
         return os.path.join(self.folder, file) if file else ""
 
+    def place(self, element: etree._Element) -> str:
+        """`file:line:column` of an element, for errors."""
+        line, name = element.sourceline, etree.QName(element).localname
+        text = self.lines[line - 1] if 0 < line <= len(self.lines) else b""
+        alike = [other for other in self.root.iter(element.tag) if other.sourceline == line]
+        starts = [found.start() for found in re.finditer(rb"<%b[\s/>]" % name.encode(), text + b" ")]
+        nth = alike.index(element)
+        return f"{self.path}:{line}:{starts[nth] + 1 if nth < len(starts) else 1}"
+
     def refused(self, element: etree._Element, what: str) -> PremisesError:
         """What is wrong with an element that the schema let pass."""
         name = etree.QName(element).localname
@@ -98,7 +109,7 @@
         raise PremisesError("\n".join(lines))
     log = root.find(f"{SPACE}log")
     level = log.get("level", "info") if log is not None else "info"
-    return Premises(path, root, level)
+    return Premises(path, root, level, tuple(data.splitlines()))
 
 
 def _closed(root: etree._Element, path: str) -> None:
@@ -128,6 +139,11 @@
     return {**_defaults(name), **(dict(element.attrib) if element is not None else {})}
 
 
+def attributes(element: etree._Element, kind: str) -> dict[str, str]:
+    """An element's own attributes with the schema's defaults for its kind."""
+    return {**_defaults(kind), **dict(element.attrib)}
+
+
 @cache
 def _defaults(kind: str) -> dict[str, str]:
     space = "{http://www.w3.org/2001/XMLSchema}"
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/stand.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 import sys
 import time
 from functools import partial
@@ -131,6 +132,17 @@
         }
 
 
+def _member(premises: Premises, log: Log, reactor: Any):  # noqa: ANN202  (imported where it is used)
+    """This process as a member of the fleet, where the settings have one."""
+    if premises.part("fleet") is None:
+        return None
+    from linenbridge.fleet.hosting.member import Member
+    from linenbridge.fleet.premises import fleet
+
+    told = fleet(premises)
+    return None if told is None else Member(told, reactor, log, secrets.randbits(60))
+
+
 def run(premises: Premises, at: Station, resp: bool) -> int:
     """One process until its end: the processor, and RESP2 too where `resp` says so."""
     if (told := wicket(premises)) is None:
@@ -139,6 +151,7 @@
     reactor = lifetime.begin(log)
     stand = Stand(at, told, log, reactor)
     parts = build(at, log, reactor, stand.open)
+    member = _member(premises, log, reactor)
     reactor.serve(parts.loop)
     stand.listen()
     if resp:
@@ -153,6 +166,12 @@
 
     def stop() -> None:
         log.event("stopping", open=parts.loop.unanswered)
+        if member is None:
+            leave()
+        else:
+            member.leave(leave)
+
+    def leave() -> None:
         stand.leave(partial(gone, "processor"))
         if resp:
             parts.clients.stop(reactor, partial(gone, "resp"))
@@ -161,11 +180,16 @@
         log.counters(
             open=parts.loop.unanswered, clients=parts.clients.descriptors.open,
             lines=parts.instances.descriptors.open, **stand.open_now(),
+            **({} if member is None else member.facts()),
         )  # fmt: skip
 
     def anew() -> None:
         reload(parts, log, dict(os.environ))
         stand.reload()
+        if member is not None:
+            from linenbridge.fleet.hosting.witness import again
+
+            again(premises.path, member, log)
 
     lifetime.run(reactor, log, stop, counters, anew)
     return 0
--- /dev/null
+++ b/tests/fleet/procs/test_leases.py
@@ -0,0 +1,182 @@
+"""Leases between processes: faults between them by a seed, and what reached the thing acted on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from tests.fleet.procs.checker import breaches, longest_gap
+from tests.fleet.procs.installation import BEAT, LEASE, Installation
+from tests.fleet.procs.standin_resource import Act
+
+MEMBERS = ["g1", "g2", "g3", "g4", "g5"]
+FAULTS = 5
+# A dead holder's lease, what clocks run apart, two beats of those that wait, and the machine's own delays.
+TAKEN_UP = LEASE * 1.02 + 2 * BEAT + 1.0
+# After all faults: seats that start anew stand aside for a lease, recall each other, and then one is taken
+# up.
+AFTER_ALL = 2 * LEASE * 1.02 + 6 * BEAT + 3.0
+
+FAMILIES = {
+    "links": ("both", "deaf", "mute", "slow", "reset"),
+    "pauses": ("pause", "pause holder", "pause seat"),
+    "kills": ("kill", "kill holder", "kill seat"),
+    "disks": ("kept", "emptied", "older"),
+}
+
+
+async def one_fault(fleet: Installation, dice: Random, kind: str) -> None:
+    member = dice.choice(MEMBERS)
+    if kind in ("both", "deaf", "mute"):
+        fleet.links.cut(member, kind)
+        await asyncio.sleep(dice.uniform(0.2, 2.0))
+        fleet.links.mend()
+    elif kind == "slow":
+        fleet.links.slow(member, dice.uniform(0.05, 0.6))
+        await asyncio.sleep(dice.uniform(0.5, 1.5))
+        fleet.links.mend()
+    elif kind == "reset":
+        fleet.links.reset(member)
+    else:
+        fleet.links.faults += 1
+        what, _, which = kind.partition(" ")
+        member = (fleet.holder() or member) if which == "holder" else member
+        member = (
+            dice.choice(fleet.seats) if which == "seat" or what in ("kept", "emptied", "older") else member
+        )
+        if what == "pause":
+            fleet.pause(member)
+            await asyncio.sleep(dice.uniform(0.1, 2.5))
+            fleet.wake(member)
+        else:
+            fleet.kill(member)
+            if what in ("kept", "emptied", "older"):
+                fleet.disk(member, what)
+            await asyncio.sleep(dice.uniform(0.0, 1.0))
+            fleet.start(member)
+
+
+async def play(folder: Path, family: str, seed: int) -> tuple[int, int, list[str]]:
+    """One schedule: acts, faults, breaches."""
+    dice, fleet = Random(f"{family} {seed}"), Installation(folder, MEMBERS)
+    await fleet.open()
+    try:
+        for seat in fleet.seats if family == "disks" else ():
+            fleet.start(seat)
+        if family == "disks":  # an early copy of each disk, from after the founding
+            await asyncio.sleep(LEASE + 2.0)
+            for seat in fleet.seats:
+                fleet.kill(seat)
+                fleet.save(seat)
+        for member in MEMBERS:
+            fleet.start(member)
+        found = [] if await fleet.held(AFTER_ALL + 3.0) else ["nobody took the task up at the start"]
+        for _ in range(FAULTS):
+            await one_fault(fleet, dice, dice.choice(FAMILIES[family]))
+            await asyncio.sleep(dice.uniform(0.0, 0.6))
+            if (
+                family == "disks"
+            ):  # one disk at a time: more than one that went back is past the council's bound
+                await asyncio.sleep(LEASE + 1.0)
+        fleet.links.mend()
+        began = time.monotonic()
+        if not await fleet.held(AFTER_ALL):
+            found.append(f"nobody took the task up within {AFTER_ALL:.1f} s of the last fault")
+        await asyncio.sleep(max(0.0, began + 0.6 - time.monotonic()))
+        acts = list(fleet.resource.acts)
+        return len(acts), fleet.links.faults, found + breaches(acts, fleet.woken)
+    finally:
+        await fleet.close()
+
+
+@pytest.mark.parametrize("family", FAMILIES)
+def test_no_two_hold_a_task_whatever_happens_between_processes(family, schedules, tmp_path):
+    acts = faults = 0
+    wrong = list[str]()
+    for seed in schedules:
+        folder = tmp_path / str(seed)
+        folder.mkdir()
+        more, put, found = asyncio.run(play(folder, family, seed))
+        acts, faults = acts + more, faults + put
+        wrong += [f"seed {seed}: {words}" for words in found]
+    print(
+        f"\nleases {family}: {len(schedules)} schedules, {acts} acts, {faults} faults, {len(wrong)} breaches"
+    )
+    assert not wrong and acts > 20 * len(schedules)
+
+
+def test_a_killed_holders_task_is_taken_up_within_the_stated_time(tmp_path):
+    async def kill_the_holder() -> float:
+        fleet = Installation(tmp_path, MEMBERS)
+        await fleet.open()
+        try:
+            for member in MEMBERS:
+                fleet.start(member)
+            assert await fleet.held(AFTER_ALL + 3.0)
+            await asyncio.sleep(0.5)
+            since, holder = time.monotonic(), fleet.holder()
+            fleet.kill(holder)
+            await asyncio.sleep(TAKEN_UP)
+            assert fleet.holder() not in (None, holder) and not breaches(fleet.resource.acts, [])
+            return longest_gap(fleet.resource.acts, "sweep", since, time.monotonic())
+        finally:
+            await fleet.close()
+
+    gap = asyncio.run(kill_the_holder())
+    print(f"\na killed holder's task: taken up after {gap:.2f} s, bound {TAKEN_UP:.2f} s")
+    assert gap <= TAKEN_UP
+
+
+def test_a_clock_beyond_the_bound_is_seen_to_fail(tmp_path):
+    """The control: a holder whose clock runs at a third goes on acting when it is cut off; the fence
+    refuses it."""
+
+    async def slow_clock() -> list[str]:
+        fleet = Installation(tmp_path, MEMBERS, rates={"g4": 0.3})
+        await fleet.open()
+        try:
+            for member in ("g1", "g2", "g3", "g4"):
+                fleet.start(member)
+            assert await fleet.held(AFTER_ALL + 6.0)
+            for seat in fleet.seats:  # whoever holds gives way to g4, which asks all the time
+                if fleet.holder() == seat:
+                    fleet.links.cut(seat, "both")
+                    await asyncio.sleep(LEASE * 3)
+                    fleet.links.mend()
+            for _ in range(20):
+                if fleet.holder() == "g4":
+                    break
+                holder = fleet.holder()
+                if holder is not None:
+                    fleet.pause(holder)
+                    await asyncio.sleep(LEASE * 2)
+                    fleet.wake(holder)
+                await asyncio.sleep(LEASE)
+            assert fleet.holder() == "g4"
+            fleet.links.cut("g4", "mute")
+            await asyncio.sleep(LEASE * 3.5)
+            return breaches(fleet.resource.acts, fleet.woken)
+        finally:
+            await fleet.close()
+
+    assert any("g4" in words for words in asyncio.run(slow_clock()))
+
+
+@pytest.mark.parametrize(
+    ("acts", "words"),
+    [
+        ([("a#1", 1, True), ("b#1", 2, True), ("a#1", 1, True)], "was taken under 1 after 2"),
+        ([("a#1", 1, True), ("b#1", 2, True), ("a#1", 1, False)], "was not just woken"),
+        ([("a#1", 1, True), ("b#1", 1, True)], "term 1 was"),
+        ([("a#1", 1, True), ("b#1", 2, True), ("a#1", 3, True)], "acted in turns"),
+    ],
+)
+def test_the_checker_sees_planted_breaches(acts, words):
+    rows = [Act(float(n), "sweep", 0, term, by, taken) for n, (by, term, taken) in enumerate(acts)]
+    assert any(words in found for found in breaches(rows, []))
+    sound = [Act(float(n), "sweep", 0, n // 2 + 1, "ab"[n // 2] + "#1", True) for n in range(4)]
+    assert not breaches(sound, [])
--- /dev/null
+++ b/tests/fleet/test_errors.py
@@ -0,0 +1,44 @@
+"""Each kind of error says what an operator can do, and has its line in the operators' page."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+from pathlib import Path
+
+import pytest
+
+import linenbridge.fleet
+from linenbridge.fleet.errors import FleetError, Refusal, kinds
+
+for module in pkgutil.walk_packages(linenbridge.fleet.__path__, "linenbridge.fleet."):
+    importlib.import_module(module.name)
+PAGE = (Path(__file__).parents[2] / "docs" / "oncall-fleet.md").read_text()
+BASES = {"Refusal", "LeaseError"}
+
+
+@pytest.mark.parametrize(
+    "kind", [kind for kind in kinds() if kind.__name__ not in BASES], ids=lambda k: k.__name__
+)
+def test_every_kind_has_advice_and_a_line_on_the_page(kind):
+    assert kind.advice and kind.advice in str(kind("it happened", "g1"))
+    row = next((line for line in PAGE.splitlines() if line.startswith(f"| `{kind.__name__}`")), "")
+    assert row and kind.advice in row, "the operators' page does not say it"
+
+
+def test_each_refusal_has_a_code_of_its_own():
+    codes = [kind.code for kind in kinds(Refusal)]
+    assert len(codes) > 4 and len(set(codes)) == len(codes) and all(codes)
+
+
+def test_an_error_is_plain_data_for_the_log():
+    class PlannedError(FleetError):
+        advice = "wait"
+
+    assert str(PlannedError("late", "g1")) == "g1: late; wait"
+    assert PlannedError("late", "g1").fields() == {
+        "kind": "PlannedError",
+        "what": "late",
+        "where": "g1",
+        "do": "wait",
+    }
