--- a/linenbridge/fleet/leases/errors.py
+++ b/linenbridge/fleet/leases/errors.py
@@ -75,9 +75,3 @@
     """The store can't be read whole."""
 
     advice = "move the damaged file away and restart: the seat learns anew from the others"
-
-
-REFUSALS = {
-    kind.code: kind
-    for kind in (HeldByAnother, BehindOthers, OlderTerm, LeaseTooLong, SeatAside, OtherGeneration)
-}
