--- a/linenbridge/choice/guards.py
+++ b/linenbridge/choice/guards.py
@@ -52,7 +52,21 @@
             return PUSH_BACK, rpc.id, min(RETRY_AFTER, self.allow.retry_after_most)
         return ABORT, rpc.id
 
+    def _holds(self, build: int) -> bool:
+        """Whether a hold covers a build: it has instances where releases are held."""
+        held, zone = self.held, self.fleet.zone
+        return held is not None and (not held or any(zone[i] in held for i in self.near.get(build, ())))
+
     def _cap(self, build: int) -> tuple[float, int] | None:
+        """Rule 5; under a hold no more than when it began, none at a later build while an earlier is
+        there."""
+        cap = self._told_cap(build)
+        if cap is None or not self._holds(build):
+            return cap
+        most = self.held_caps.get(build, 0.0 if min(self.near, default=build) < build else cap[0])
+        return min(cap[0], most), cap[1]
+
+    def _told_cap(self, build: int) -> tuple[float, int] | None:
         """Rule 5: the cap and stage that bind picks at a build; None where nothing does."""
         if build > self.build >= 0 or (self.build < 0 and build > self.lowest):
             return self.plan.caps[0], 0
--- a/linenbridge/choice/placing.py
+++ b/linenbridge/choice/placing.py
@@ -91,11 +91,19 @@
         if not valid or build < self.build:
             return
         self.takes_news(build, stage, phase, cap, rising=phase in (ON_TRIAL, RELEASED))
+        self._settle()
+        self.moot, self.vote_wait = (-1, -1), VOTE_RETRY
+        self._judge(build)
+
+    def on_hold(self, now: int, zones: frozenset[str] | None) -> None:
+        super().on_hold(now, zones)
+        self._settle()
+
+    def _settle(self) -> None:
+        """What was earned by the share as it was; from now on by the one that binds."""
         for (b, row), bucket in self.buckets.items():
             bucket.settle(self.taken[row])
             bucket.share = self._share(b)
-        self.moot, self.vote_wait = (-1, -1), VOTE_RETRY
-        self._judge(build)
 
     def next_decision(self, now: int) -> tuple | None:
         if self.passing is None:
--- a/linenbridge/choice/votes.py
+++ b/linenbridge/choice/votes.py
@@ -37,6 +37,8 @@
         starts = [self.fleet.started[i] for i in self.near.get(self.judged, ())]
         if phase == RELEASED or not starts:
             return NO_VOTE
+        if self._holds(self.judged):
+            return HOLD if self.plan.by_timer else NO_VOTE
         # A sum on its way to the alarm is no ground for 'on', nor is what this gateway wasn't there to see.
         highest = self.sums.highest()
         enough = self.outcomes >= ON_OUTCOMES and highest <= ON_MOST * LEAST_THRESHOLD
@@ -78,4 +80,5 @@
     def _lapses(self) -> bool:
         """Where calls are scarce an 'on' nobody asks for any more is left to lapse: a call to take it back is
         one less for a vote that does not stand yet. A sum over half the least threshold is worth the call."""
-        return self.scarce and self.cast[2] == ON and self.sums.highest() <= ON_MOST * LEAST_THRESHOLD
+        free = self.scarce and not self._holds(self.judged)
+        return free and self.cast[2] == ON and self.sums.highest() <= ON_MOST * LEAST_THRESHOLD
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -16,6 +16,7 @@
 from linenbridge.fleet.errors import FleetError
 from linenbridge.fleet.hosting import clock
 from linenbridge.fleet.hosting.errands import Errands
+from linenbridge.fleet.hosting.freezes import Freezes
 from linenbridge.fleet.hosting.links import Links, later
 from linenbridge.fleet.leases.asker import Asker
 from linenbridge.fleet.leases.seat import Seat
@@ -28,9 +29,13 @@
 
 
 class Member:
-    """`life` is another for each start of the process."""
+    """`life` is another for each start of the process; `held` is told where releases are held, None:
+    nowhere."""
 
-    def __init__(self, told: FleetTold, reactor: Any, log: Log, life: int) -> None:
+    def __init__(
+        self, told: FleetTold, reactor: Any, log: Log, life: int,
+        held: Callable[[frozenset[str] | None], None] = lambda zones: None,
+    ) -> None:  # fmt: skip
         self.told, self.reactor, self.log = told, reactor, log
         self.name = f"{told.member}#{life:x}"
         now = clock.now()
@@ -47,6 +52,7 @@
         for errand in told.errands:
             if errand.task != RESTARTS:
                 self.asker.stand_for(now, errand.task, errand.places)
+        self.freezes = Freezes(told.windows, reactor, log, held)
         self.errands = Errands(self.name, told.errands, reactor, log, self.holds)
         log.event("member.started", member=told.member, life=f"{life:x}", seat=told.sits())
         self.turn()
@@ -161,6 +167,7 @@
         for seat in [seat for seat in self.links.dialled if seat not in told.council.everyone()]:
             self.links.drop(seat)
         self._dial()
+        self.freezes.take_up(told.windows)
         self.turn()
 
     def leave(self, gone: Callable[[], None]) -> None:
@@ -182,6 +189,7 @@
             return
         self.gone = True
         self.errands.close()
+        self.freezes.close()
         now = clock.now()
         for task in list(self.asker.holds):
             if task != RESTARTS:
--- a/linenbridge/fleet/premises.py
+++ b/linenbridge/fleet/premises.py
@@ -11,6 +11,8 @@
 from lxml import etree
 
 from linenbridge.fleet.errors import FleetError
+from linenbridge.fleet.freezes.premises import windows
+from linenbridge.fleet.freezes.windows import Window
 from linenbridge.fleet.leases.quorum import Council
 from linenbridge.fleet.leases.terms import Pace
 from linenbridge.net.discovery import host_port
@@ -57,6 +59,7 @@
     first_term: int
     errands: tuple[Errand, ...]
     restarts_within: int
+    windows: tuple[Window, ...] = ()
 
     def sits(self) -> bool:
         """Whether this member has a seat on the council."""
@@ -109,7 +112,7 @@
         said["member"], host_port(said["listen"].replace("[", "").replace("]", "")),
         premises.beside(said["store"]),
         said["store-never-goes-back"] in ("true", "1"), Pace(lease, longest, apart, beat), members, council,
-        first_term, tuple(errands), within,
+        first_term, tuple(errands), within, windows(premises.beside(said["freezes"])),
     )  # fmt: skip
 
 
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/stand.py
@@ -132,7 +132,7 @@
         }
 
 
-def _member(premises: Premises, log: Log, reactor: Any):  # noqa: ANN202  (imported where it is used)
+def _member(premises: Premises, log: Log, reactor: Any, loop: Loop):  # noqa: ANN202  (imported where it is used)
     """This process as a member of the fleet, where the settings have one."""
     if premises.part("fleet") is None:
         return None
@@ -140,7 +140,13 @@
     from linenbridge.fleet.premises import fleet
 
     told = fleet(premises)
-    return None if told is None else Member(told, reactor, log, secrets.randbits(60))
+    if told is None:
+        return None
+
+    def held(zones: frozenset[str] | None) -> None:
+        loop.gather(lambda now: loop.gateway.on_hold(now, zones))
+
+    return Member(told, reactor, log, secrets.randbits(60), held)
 
 
 def run(premises: Premises, at: Station, resp: bool) -> int:
@@ -151,7 +157,7 @@
     reactor = lifetime.begin(log)
     stand = Stand(at, told, log, reactor)
     parts = build(at, log, reactor, stand.open)
-    member = _member(premises, log, reactor)
+    member = _member(premises, log, reactor, parts.loop)
     reactor.serve(parts.loop)
     stand.listen()
     if resp:
--- a/linenbridge/state/known.py
+++ b/linenbridge/state/known.py
@@ -33,10 +33,22 @@
         self.judged, self.withdrawn = -1, set[int]()
         self.moved: dict[Id | None, int] = {}
         self.buckets: dict[tuple[int, int], CapBucket] = {}
+        self.held: frozenset[str] | None = None
+        self.held_caps: dict[int, float] = {}
         # Own outcomes since the start, by (build, method), and whether there are new ones to tell.
         self.told: dict[tuple[int, int], Counts] = {}
         self.news = False
 
+    def on_hold(self, now: int, zones: frozenset[str] | None) -> None:
+        """Releases are held in these zones from now on, everywhere where none is named; None: not any more.
+        The caps as they are when a hold begins are kept."""
+        if self.held is None and zones is not None:
+            self.held_caps = {self.build: self.cap}
+        if zones != self.held:
+            where = "over" if zones is None else " ".join(sorted(zones)) or "everywhere"
+            self.notes.append(f"hold {where} build {self.build} stage {self.stage} cap {self.cap:g}")
+        self.held = zones
+
     def on_gone(self, now: int, rpc: str) -> None:
         """The client of an RPC has left; its picks that are out go on to their end."""
         if rpc in self.rpcs:
--- /dev/null
+++ b/tests/fleet/freezes/test_windows.py
@@ -0,0 +1,82 @@
+"""Windows of time: recurrence, daylight saving both ways, and what is never shorter than it reads."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime, timedelta
+from itertools import islice
+from zoneinfo import ZoneInfo
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from linenbridge.fleet.freezes.windows import Window, occurrences
+
+SEOUL, BERLIN, SYDNEY = ZoneInfo("Asia/Seoul"), ZoneInfo("Europe/Berlin"), ZoneInfo("Australia/Sydney")
+
+
+def window(begin: str, end: str, zone: ZoneInfo = SEOUL, **more) -> Window:
+    return Window("w", "hold", datetime.fromisoformat(begin), datetime.fromisoformat(end), zone, **more)
+
+
+def shown(found: list[tuple[int, int]]) -> list[tuple[str, str]]:
+    return [
+        tuple(datetime.fromtimestamp(at / 1e6, UTC).strftime("%m-%dT%H:%M") for at in row) for row in found
+    ]
+
+
+def test_every_second_week_in_seoul():
+    often = window("2026-12-08T02:00", "2026-12-08T04:30", every=2, step="week")
+    assert shown(list(islice(occurrences(often, 0), 3))) == [
+        ("12-07T17:00", "12-07T19:30"), ("12-21T17:00", "12-21T19:30"), ("01-04T17:00", "01-04T19:30"),
+    ]  # fmt: skip
+
+
+def test_what_is_over_is_passed_over_and_what_has_begun_is_not():
+    often = window("2026-12-08T02:00", "2026-12-08T04:30", every=1, step="day", last=datetime(2026, 12, 9, 2))
+    (first, end), second = occurrences(often, 0)
+    assert next(occurrences(often, first + 1)) == (first, end) and next(occurrences(often, end)) == second
+    assert not list(occurrences(often, second[1])) and not list(
+        occurrences(window("2026-12-08T02:00", "2026-12-08T03:00", cancelled=True), 0)
+    )
+
+
+@pytest.mark.parametrize(
+    ("begin", "end", "utc"),
+    [
+        # The clocks go from 02:00 to 03:00 on 28 March, and from 03:00 to 02:00 on 31 October.
+        ("2027-03-28T01:30", "2027-03-28T03:30", ("03-28T00:30", "03-28T01:30")),
+        ("2027-03-28T02:30", "2027-03-28T04:00", ("03-28T00:30", "03-28T02:00")),
+        ("2027-03-28T01:00", "2027-03-28T02:30", ("03-28T00:00", "03-28T01:30")),
+        ("2027-10-31T02:30", "2027-10-31T04:00", ("10-31T00:30", "10-31T03:00")),
+        ("2027-10-31T01:00", "2027-10-31T02:30", ("10-30T23:00", "10-31T01:30")),
+        ("2027-10-31T02:15", "2027-10-31T02:45", ("10-31T00:15", "10-31T01:45")),
+    ],
+)
+def test_hours_that_clocks_leave_out_or_repeat(begin, end, utc):
+    assert shown(list(occurrences(window(begin, end, BERLIN), 0))) == [utc]
+
+
+def test_the_31st_comes_back_after_short_months():
+    monthly = window("2027-01-31T10:00", "2027-01-31T11:00", every=1, step="month")
+    assert [row[0][:5] for row in shown(list(islice(occurrences(monthly, 0), 4)))] == [
+        "01-31", "02-28", "03-31", "04-30"
+    ]  # fmt: skip
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    st.datetimes(datetime(2026, 1, 1), datetime(2029, 1, 1)), st.integers(1, 10_000),
+    st.sampled_from((SEOUL, BERLIN, SYDNEY)),
+)  # fmt: skip
+def test_every_minute_that_a_clock_shows_inside_is_inside(begin, minutes, zone):
+    """Against the plain reading: an instant is inside where the zone's clock shows a time within the window."""
+    begin = begin.replace(second=0, microsecond=0)
+    end = begin + timedelta(minutes=minutes)
+    ((first, last),) = occurrences(Window("w", "hold", begin, end, zone), 0)
+    around = datetime.fromtimestamp(first / 1e6, UTC)
+    for probe in (-61, -31, -1, 0, 1, 29, 59, 61, minutes - 61, minutes - 1, minutes + 1, minutes + 59):
+        moment = around + timedelta(minutes=probe)
+        local = moment.astimezone(zone).replace(tzinfo=None)
+        if begin <= local < end:
+            assert first <= moment.timestamp() * 1e6 < last
