--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -42,7 +42,7 @@
 
 
 class Link(amp.AMP):
-    """One connection. `far` is the other end's name, as it says itself: a seat, or an asker's life."""
+    """One connection. `far` is the name of the member at the other end, as it says itself."""
 
     noisy, far, unsent = False, "", 0
 
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -37,7 +37,7 @@
         held: Callable[[frozenset[str] | None], None] = lambda zones: None,
     ) -> None:  # fmt: skip
         self.told, self.reactor, self.log = told, reactor, log
-        self.name = f"{told.member}#{life:x}"
+        self.name, self.life = f"{told.member}#{life:x}", life
         now = clock.now()
         self.asker = Asker(self.name, told.council, told.pace, life, now)
         self.seat: Seat | None = None
@@ -46,7 +46,7 @@
         self.gone = False
         if told.sits():
             self._sit(now, life)
-        self.links = Links(told.member if told.sits() else self.name, reactor, log, self._hear)
+        self.links = Links(told.member, reactor, log, self._hear)
         self.port = reactor.listenTCP(told.listen[1], self.links, interface=told.listen[0])
         self._dial()
         for errand in told.errands:
@@ -90,7 +90,7 @@
             if word.seat == far:
                 self.asker.on_said(now, word)
         elif seat is not None and isinstance(word, Round):
-            if word.asker.partition("#")[0] == far.partition("#")[0]:
+            if word.asker.partition("#")[0] == far:
                 self._heard_on(word.asker, far)
                 seat.on_round(now, word)
         elif seat is not None and isinstance(word, Recall):
@@ -164,6 +164,8 @@
         self.asker.on_council(now, told.council)
         if self.seat is not None:
             self.seat.on_council(now, told.council)
+        elif told.sits():
+            self._sit(now, self.life)
         for seat in [seat for seat in self.links.dialled if seat not in told.council.everyone()]:
             self.links.drop(seat)
         self._dial()
--- a/linenbridge/fleet/leases/returning.py
+++ b/linenbridge/fleet/leases/returning.py
@@ -98,7 +98,10 @@
             # Nothing was promised by a seat that was there, and blank, when all were: it has nothing to
             # forget.
             if any(table.blank == self.number for table in self.tables.values()):
-                return "founded"
+                if not council.changes():
+                    return "founded"
+                self.remembers, self.forgot, self.settled = True, False, council.generation - 1
+                return self._grounds()
             if present >= set(council.everyone()) and not any(t.remembers for t in self.tables.values()):
                 self.founded_with = {seat: table.own for seat, table in self.tables.items()}
                 return "founded"
--- a/tests/fleet/explore/test_leases.py
+++ b/tests/fleet/explore/test_leases.py
@@ -6,7 +6,7 @@
 
 from tests.fleet.explore.leases import FAST, SLOW, LeaseWorld, Scenario
 from tests.fleet.explore.mutants import MUTANTS
-from tests.fleet.explore.schedules import DEEP
+from tests.fleet.explore.schedules import DEEP, GROWS
 from tests.fleet.explore.search import follow, search, wander
 
 SLOW_SEATS = (("x", FAST), ("y", FAST), ("a", SLOW), ("b", SLOW), ("c", SLOW))
@@ -33,6 +33,15 @@
     assert found.breach is None
 
 
+def test_no_walk_through_changes_of_the_council_breaks_a_lease():
+    """Three changes, handed to each process at another moment, with seats parted, blank and stopped."""
+    faults = ("council", "council", "part", "lost", "late", "blank", "stopped")
+    scenario = Scenario(22, ticks=50, faults=faults, councils=GROWS)
+    found = wander(lambda: LeaseWorld(scenario), 250, seed=3, odds=0.12)
+    print(found.line("walks through three changes of the council"))
+    assert found.breach is None
+
+
 def test_somebody_holds_the_task_where_nothing_goes_wrong_and_the_next_takes_it_up():
     world = LeaseWorld(Scenario(ticks=40))
     leaves = "leave x at 20"
