Links know their peers; acts wait for no withheld answer

Need: a stranger, a silent connection, or a receiver of acts that withholds its answer held a descriptor for ever.

--- a/linenbridge/fleet/hosting/errands.py
+++ b/linenbridge/fleet/hosting/errands.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.iweb import IBodyProducer
@@ -19,6 +20,7 @@
 from linenbridge.fleet.premises import Errand
 from linenbridge.net.log import Log
 
+ANSWER_WAIT, ANSWER_MOST = 5.0, 65_536  # seconds and bytes of one answer
 STALE = 409  # the answer of a thing that has seen a newer term
 TYPE = Headers({b"content-type": [b"application/json"]})
 
@@ -41,6 +43,17 @@
     def stopProducing(self) -> None: ...
 
 
+class Unread(Protocol):
+    """An answer's body, which is of no interest; one too long ends its connection."""
+
+    heard = 0
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard += len(data)
+        if self.heard > ANSWER_MOST:
+            self.transport.loseConnection()
+
+
 class Errands:
     """`term(task)` is asked at each act: the term and place under which this member may act now, or None."""
 
@@ -51,6 +64,7 @@
         self.name, self.reactor, self.log, self.term = name, reactor, log, term
         self.agent = Agent(reactor, connectTimeout=1.0, pool=HTTPConnectionPool(reactor, persistent=False))
         self.timers: dict[str, Any] = {}
+        self.out: set[str] = set()  # tasks whose last act has no answer yet
         for errand in errands:
             if errand.act is not None:
                 self._again(errand)
@@ -61,7 +75,7 @@
     def _act(self, errand: Errand) -> None:
         self._again(errand)
         held = self.term(errand.task)
-        if held is None:
+        if held is None or errand.task in self.out:
             return
         term, place = held
         said = {"task": errand.task, "place": place, "term": term, "by": self.name}
@@ -69,15 +83,19 @@
         asked = self.agent.request(
             b"POST", f"http://{host}:{port}/act".encode(), TYPE, Body(msgspec.json.encode(said))
         )
+        self.out.add(errand.task)
+        asked.addTimeout(ANSWER_WAIT, self.reactor)
         asked.addCallbacks(self._done, self._failed, callbackArgs=(said,), errbackArgs=(said,))
 
     def _done(self, response: Any, said: dict) -> None:
+        self.out.discard(said["task"])
         self.log.count("act", str(response.code))
         if response.code == STALE:
             self.log.event("act.refused", **said)
-        response.deliverBody  # noqa: B018  (the body is of no interest; the connection closes with it)
+        response.deliverBody(Unread())
 
     def _failed(self, failure: Any, said: dict) -> None:
+        self.out.discard(said["task"])
         self.log.rarely("act.failed", said["task"], error=failure.getErrorMessage(), **said)
 
     def close(self) -> None:
--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -44,7 +44,7 @@
 class Link(amp.AMP):
     """One connection. `far` is the name of the member at the other end, as it says itself."""
 
-    noisy, far, unsent = False, "", 0
+    noisy, far, quiet = False, "", None
 
     def __init__(self, links: Links) -> None:
         super().__init__()
@@ -54,17 +54,25 @@
         super().connectionMade()
         self.transport.setTcpNoDelay(True)
         self.callRemote(Meet, name=self.links.name)
-        self.links.made(self)
+        self.links.open.add(self)
+        self.quiet = self.links.reactor.callLater(CONNECT_WAIT, self.transport.abortConnection)
 
     @Meet.responder
     def meet(self, name: str) -> dict:
-        self.far = name[:128]
+        if name not in self.links.known or self.far:
+            self.links.log.rarely("link.stranger", name[:64])
+            self.transport.abortConnection()
+            return {}
+        self.far = name
+        self.quiet.cancel()
         self.links.met(self)
         return {}
 
     @Say.responder
     def heard(self, word: bytes) -> dict:
         try:
+            if not self.far:
+                raise msgspec.ValidationError("a word before the name")
             self.links.hear(self.far, _decode.decode(word))
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             self.links.log.rarely("link.malformed", self.far, error=str(error))
@@ -77,20 +85,29 @@
 
     def connectionLost(self, reason: Any) -> None:
         super().connectionLost(reason)
+        if self.quiet is not None and self.quiet.active():
+            self.quiet.cancel()
         self.links.lost(self)
 
 
 class Links(Factory):
-    """All links of one member. `hear(far, word)` is called for each word."""
+    """All links of one member. `hear(far, word)` is called for each word; `known` are the others by name."""
 
     noisy = False
 
-    def __init__(self, name: str, reactor: Any, log: Log, hear: Callable[[str, Any], None]) -> None:
-        self.name, self.reactor, self.log, self.hear = name, reactor, log, hear
+    def __init__(
+        self, name: str, known: frozenset[str], reactor: Any, log: Log, hear: Callable[[str, Any], None]
+    ) -> None:
+        self.name, self.known, self.reactor, self.log, self.hear = name, known, reactor, log, hear
+        self.open: set[Link] = set()
         self.to: dict[str, Link] = {}  # by the far end's name
         self.dialled: dict[str, tuple[ClientService, tuple[str, int]]] = {}
 
-    def buildProtocol(self, addr: Any) -> Link:
+    def buildProtocol(self, addr: Any) -> Link | None:
+        """No more connections at once than the members known can have any use for."""
+        if len(self.open) >= 4 * len(self.known) + 16:
+            self.log.rarely("link.too_many", "all")
+            return None
         return Link(self)
 
     def dial(self, seat: str, address: tuple[str, int]) -> None:
@@ -108,14 +125,13 @@
         if seat in self.dialled:
             self.dialled.pop(seat)[0].stopService()
 
-    def made(self, link: Link) -> None: ...
-
     def met(self, link: Link) -> None:
         """The newest connection of a name is the one that is written to."""
         self.to[link.far] = link
         self.log.rarely("link.up", link.far)
 
     def lost(self, link: Link) -> None:
+        self.open.discard(link)
         if self.to.get(link.far) is link:
             del self.to[link.far]
             self.log.rarely("link.lost", link.far)
@@ -136,7 +152,7 @@
     def close(self) -> None:
         for seat in list(self.dialled):
             self.drop(seat)
-        for link in list(self.to.values()):
+        for link in list(self.open):
             link.transport.loseConnection()
 
 
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -46,7 +46,7 @@
         self.gone = False
         if told.sits():
             self._sit(now, life)
-        self.links = Links(told.member, reactor, log, self._hear)
+        self.links = Links(told.member, frozenset(told.members), reactor, log, self._hear)
         self.port = reactor.listenTCP(told.listen[1], self.links, interface=told.listen[0])
         self._dial()
         for errand in told.errands:
@@ -166,6 +166,7 @@
             self.seat.on_council(now, told.council)
         elif told.sits():
             self._sit(now, self.life)
+        self.links.known = frozenset(told.members)
         for seat in [seat for seat in self.links.dialled if seat not in told.council.everyone()]:
             self.links.drop(seat)
         self._dial()
--- a/tests/fleet/freezes/test_windows.py
+++ b/tests/fleet/freezes/test_windows.py
@@ -70,7 +70,8 @@
     st.sampled_from((SEOUL, BERLIN, SYDNEY)),
 )  # fmt: skip
 def test_every_minute_that_a_clock_shows_inside_is_inside(begin, minutes, zone):
-    """Against the plain reading: an instant is inside where the zone's clock shows a time within the window."""
+    """Against the plain reading: an instant is inside where the zone's clock shows a time within the
+    window."""
     begin = begin.replace(second=0, microsecond=0)
     end = begin + timedelta(minutes=minutes)
     ((first, last),) = occurrences(Window("w", "hold", begin, end, zone), 0)
