--- a/tests/fleet/freezes/test_holds.py
+++ b/tests/fleet/freezes/test_holds.py
@@ -15,7 +15,7 @@
 from linenbridge.interface import SECOND
 from linenbridge.premises.read import PremisesError
 from tests.helpers import MS, entry, pull, running, startup
-from tests.test_choice import fail_trial, outcome
+from tests.choice.helpers import fail_trial, outcome
 
 START = datetime(2026, 12, 8, 2)
 NOW = int(START.replace(tzinfo=UTC).timestamp()) * SECOND
--- /dev/null
+++ b/tests/fleet/procs/test_holds.py
@@ -0,0 +1,69 @@
+"""A gateway that is a member, as a process: a hold reaches its decision module, whoever else is there."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from tests.fleet.procs.installation import ROOT, free_ports
+
+SETTINGS = """<linenbridge xmlns="urn:linenbridge:premises:1">
+<processor listen="127.0.0.1:{processor}"><partner name="desk" address="127.0.0.1"/>
+<routes><![CDATA[route a {{ when always method "look" }}]]></routes></processor>
+<fleet member="g1" listen="127.0.0.1:{fleet}" freezes="freezes.xml">
+<member name="g2" address="127.0.0.1:9"/><member name="g3" address="127.0.0.1:9"/>
+<council><seat name="g1"/><seat name="g2"/><seat name="g3"/></council></fleet></linenbridge>"""
+
+
+def window(more: str = "") -> str:
+    """Open since an hour ago by a clock nine hours on."""
+    begin = (datetime.now(UTC) + timedelta(hours=9) - timedelta(hours=1)).strftime("%Y-%m-%dT%H:%M")
+    row = f'<window name="move" kind="hold" from="{begin}" for="2h" in="Asia/Seoul" {more}/>'
+    return f'<freezes xmlns="urn:linenbridge:premises:1">{row}</freezes>'
+
+
+@pytest.fixture
+def gateway(tmp_path):
+    """One with all others of its council away: it needs nobody to hold."""
+    listen, processor, fleet = free_ports(3)
+    told = json.loads((ROOT / "examples" / "config.json").read_text()) | {"listen": f"127.0.0.1:{listen}"}
+    (tmp_path / "config.json").write_text(json.dumps(told))
+    (tmp_path / "s.xml").write_text(SETTINGS.format(processor=processor, fleet=fleet))
+    (tmp_path / "freezes.xml").write_text(window())
+    process = subprocess.Popen(
+        [sys.executable, "-m", "linenbridge", "serve", "-s", str(tmp_path / "s.xml"),
+         "-c", str(tmp_path / "config.json")],
+        cwd=ROOT, stderr=subprocess.PIPE, text=True, env=dict(os.environ),
+    )  # fmt: skip
+    yield process
+    process.kill()
+    process.wait()
+    process.stderr.close()
+
+
+def test_a_hold_reaches_the_module_and_ends_at_a_hangup(gateway, tmp_path):
+    def until(event: str, word: str = "") -> dict:
+        for line in gateway.stderr:
+            row = json.loads(line)
+            if row["event"] == event and word in line:
+                return row
+        raise AssertionError(f"the process ended without {event} {word}")
+
+    assert until("hold.open")["window"] == "move"
+    assert until("mode", "hold everywhere")
+    (tmp_path / "freezes.xml").write_text(window('every="1 moon"'))
+    gateway.send_signal(signal.SIGHUP)
+    assert "attribute 'every'" in until("fleet.refused")["error"]
+    (tmp_path / "freezes.xml").write_text(window('cancelled="true"'))
+    gateway.send_signal(signal.SIGHUP)
+    assert until("hold.over")["early"] is True
+    assert until("mode", "hold over")
+    gateway.terminate()
+    until("stopped")
+    assert gateway.wait(10) == 0
