--- a/linenbridge/fleet/leases/seat.py
+++ b/linenbridge/fleet/leases/seat.py
@@ -32,6 +32,7 @@
 
 KEEP, SAY, LOG = "keep", "say", "log"
 TASKS_MOST, PLACES_MOST, NAME_MOST = 1_000, 64, 64  # what one round may hold, and each of its names
+SEAT_MOST = 10_000  # tasks that one seat ever hears of
 
 
 class Kept(NamedTuple):
@@ -75,7 +76,7 @@
             for give in word.gives:
                 self._give(word.asker, give, rows)
             for want in word.wants:
-                self.queues.hear(now, want.task, word.asker, want.ticket, patience(self.pace))
+                self.queues.of(want.task).hear(now, word.asker, want.ticket, patience(self.pace))
             for take in word.takes:
                 self._take(now, word.asker, take, taken, refused, rows)
             stands = [self._stands(now, word.asker, want) for want in word.wants]
@@ -101,7 +102,7 @@
         table = Table(
             word.number, self.name, back.number, back.founded_with.get(word.seat, 0),
             self.council.generation, back.settled, back.remembers, self.heard.get(word.seat, 0),
-            places, dict(sorted(self.queues.newest.items())),
+            places, self.queues.newest(),
         )  # fmt: skip
         self.out.append((SAY, word.seat, table))
 
@@ -117,7 +118,7 @@
             if self.guards.merge(place, now + heard_left(self.pace, place.left)):
                 rows.append((place.task, place.place))
         for task, ticket in word.tickets.items():
-            self.queues.newest[task] = max(ticket, self.queues.newest.get(task, 0))
+            self.queues.meet(task, ticket)
         if rows:
             self._keep(now, rows, "", None)
 
@@ -178,7 +179,11 @@
         names = len(word.asker) <= NAME_MOST and all(len(row.task) <= NAME_MOST for row in rows)
         places = all(0 <= row.place < PLACES_MOST for row in (*word.takes, *word.gives))
         wants = all(1 <= want.places <= PLACES_MOST for want in word.wants)
-        return sizes and names and places and wants
+        known = self.queues.rows
+        room = (
+            len(known) + len(rows) <= SEAT_MOST or len(known.keys() | {row.task for row in rows}) <= SEAT_MOST
+        )
+        return sizes and names and places and wants and room
 
     def _aside(self, word: Round) -> str:
         if self.broken or not self.returning.done:
@@ -220,7 +225,7 @@
         if not same and take.term <= max(guards.newest(key), self.first_term - 1):
             return OlderTerm
         renews = same or (own and left)
-        if not renews and self.queues.ahead(now, take.task, asker, patience(self.pace)) >= self._free(
+        if not renews and self.queues.of(take.task).ahead(now, asker, patience(self.pace)) >= self._free(
             now, take
         ):
             return BehindOthers
@@ -236,8 +241,8 @@
         guards, least = self.guards, self.first_term - 1
         left = [guards.left(key, now) for key in keys]
         return Stands(
-            want.task, self.queues.newest.get(want.task, 0),
-            self.queues.ahead(now, want.task, asker, patience(self.pace)),
+            want.task, self.queues.of(want.task).newest,
+            self.queues.of(want.task).ahead(now, asker, patience(self.pace)),
             [max(guards.newest(key), least) for key in keys], left,
             [guards.holder.get(key, "") if time else "" for key, time in zip(keys, left, strict=True)],
         )  # fmt: skip
