--- a/tests/fleet/procs/installation.py
+++ b/tests/fleet/procs/installation.py
@@ -45,6 +45,7 @@
         self.stopped: set[str] = set()
         self.woken: list[tuple[float, str]] = []
         self.saved: dict[str, Path] = {}
+        self.starts: dict[str, int] = {}
 
     async def open(self) -> None:
         await self.resource.open()
@@ -72,6 +73,7 @@
         environ = {**os.environ, "LB_TEST_RATE": str(self.rates.get(member, 1.0))}
         environ.pop("LB_CONFIG", None)
         words = [sys.executable, "-m", "tests.fleet.procs.run_member", "serve", "--settings"]
+        self.starts[member] = self.starts.get(member, 0) + 1
         with open(self.folder / f"{member}.log", "ab") as log:
             self.running[member] = subprocess.Popen(
                 [*words, str(self.folder / f"{member}.xml")], cwd=ROOT, stderr=log, env=environ
@@ -112,6 +114,17 @@
             shutil.copy(file, folder / file.name)
         self.saved[member] = folder
 
+    async def up(self, wait: float = 60.0) -> None:
+        """Until every process that was started has said so: how long a busy machine takes to load a program is
+        none of what is promised."""
+        end = time.monotonic() + wait
+        for member in self.running:
+            log = self.folder / f"{member}.log"
+            while log.read_text().count('"member.started"') < self.starts[member]:
+                if time.monotonic() > end:
+                    raise TimeoutError(f"{member} did not start within {wait:.0f} s")
+                await asyncio.sleep(0.05)
+
     async def held(self, wait: float) -> bool:
         """Whether somebody acts within that time from now."""
         since, end = len(self.resource.acts), time.monotonic() + wait
--- a/tests/fleet/procs/test_changes.py
+++ b/tests/fleet/procs/test_changes.py
@@ -53,6 +53,7 @@
                 await fleet.links.open(member, seat, fleet.ports[seat])
         fleet.write(member)
         fleet.start(member)
+    await fleet.up()
     assert await fleet.held(AFTER_ALL + 3.0)
     named = "".join(f'<seat name="{seat}"/>' for seat in ("g1", "g2", "g3"))
     hand_out(fleet, 2, named + '<seat name="g4" joins="true"/>')
@@ -87,6 +88,7 @@
         try:
             for member in fleet.members:
                 fleet.start(member)
+            await fleet.up()
             assert await fleet.held(AFTER_ALL + 3.0)
             hand_out(fleet, 2, '<seat name="g1"/><seat name="g9"/>')
             assert await until(lambda: all(lines(fleet, m, "fleet.refused") for m in fleet.members), 5.0)
@@ -114,6 +116,7 @@
                     file.read_text().replace("</fleet>", '<restarts at-once="1" within="20s"/></fleet>')
                 )
                 fleet.start(member)
+            await fleet.up()
             assert await fleet.held(AFTER_ALL + 3.0)
             await asyncio.sleep(0.5)
             holder = fleet.holder()
--- a/tests/fleet/procs/test_leases.py
+++ b/tests/fleet/procs/test_leases.py
@@ -68,12 +68,14 @@
         for seat in fleet.seats if family == "disks" else ():
             fleet.start(seat)
         if family == "disks":  # an early copy of each disk, from after the founding
-            await asyncio.sleep(LEASE + 2.0)
+            await fleet.up()
+            await asyncio.sleep(LEASE + 1.0)
             for seat in fleet.seats:
                 fleet.kill(seat)
                 fleet.save(seat)
         for member in MEMBERS:
             fleet.start(member)
+        await fleet.up()
         found = [] if await fleet.held(AFTER_ALL + 3.0) else ["nobody took the task up at the start"]
         for _ in range(FAULTS):
             await one_fault(fleet, dice, dice.choice(FAMILIES[family]))
@@ -83,6 +85,7 @@
             ):  # one disk at a time: more than one that went back is past the council's bound
                 await asyncio.sleep(LEASE + 1.0)
         fleet.links.mend()
+        await fleet.up()
         began = time.monotonic()
         if not await fleet.held(AFTER_ALL):
             found.append(f"nobody took the task up within {AFTER_ALL:.1f} s of the last fault")
@@ -116,6 +119,7 @@
         try:
             for member in MEMBERS:
                 fleet.start(member)
+            await fleet.up()
             assert await fleet.held(AFTER_ALL + 3.0)
             await asyncio.sleep(0.5)
             since, holder = time.monotonic(), fleet.holder()
@@ -141,6 +145,7 @@
         try:
             for member in ("g1", "g2", "g3", "g4"):
                 fleet.start(member)
+            await fleet.up()
             assert await fleet.held(AFTER_ALL + 6.0)
             for seat in fleet.seats:  # whoever holds gives way to g4, which asks all the time
                 if fleet.holder() == seat:
--- a/tests/fleet/sim/world.py
+++ b/tests/fleet/sim/world.py
@@ -16,6 +16,7 @@
 from linenbridge.fleet.leases.seat import Kept, Seat
 from linenbridge.fleet.leases.terms import Pace
 from linenbridge.fleet.leases.words import Place, Recall, Round, Said, Table
+from tests.fleet.procs.standin_resource import Act
 
 MS, SECOND = 1_000, 1_000_000
 ACT_EVERY = 200 * MS
@@ -33,17 +34,6 @@
     pace: Pace = Pace(4 * SECOND, 4 * SECOND, 10_100, 800 * MS)
 
 
-class Act(NamedTuple):
-    """As it reached the thing acted on."""
-
-    at: float
-    task: str
-    place: int
-    term: int
-    by: str
-    taken: bool
-
-
 class Fleet:
     def __init__(self, shape: Shape, seed: int) -> None:
         self.shape, self.dice, self.now, self.count = shape, Random(f"fleet {seed}"), 0, 0
