The slow clock's control starts with the one slow member asking, not with a wait for luck

Seen: the control failed in a run of all tests: at a third of the rate the member was heard less often than those that wait have to be, and its turn came by luck. Change: seats stand for nothing, the slow member holds from the start, at half the rate, and another waits.

--- a/tests/fleet/procs/test_leases.py
+++ b/tests/fleet/procs/test_leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from pathlib import Path
 from random import Random
@@ -136,32 +137,23 @@
 
 
 def test_a_clock_beyond_the_bound_is_seen_to_fail(tmp_path):
-    """The control: a holder whose clock runs at a third goes on acting when it is cut off; the fence
+    """The control: a holder whose clock runs at half goes on acting when it is cut off; the fence
     refuses it."""
 
     async def slow_clock() -> list[str]:
-        fleet = Installation(tmp_path, MEMBERS, rates={"g4": 0.3})
+        fleet = Installation(tmp_path, MEMBERS, rates={"g4": 0.5})
         await fleet.open()
         try:
+            for seat in fleet.seats:  # they grant, and stand for nothing
+                file = fleet.folder / f"{seat}.xml"
+                file.write_text(re.sub("<task [^>]*/>", "", file.read_text()))
             for member in ("g1", "g2", "g3", "g4"):
                 fleet.start(member)
             await fleet.up()
-            assert await fleet.held(AFTER_ALL + 6.0)
-            for seat in fleet.seats:  # whoever holds gives way to g4, which asks all the time
-                if fleet.holder() == seat:
-                    fleet.links.cut(seat, "both")
-                    await asyncio.sleep(LEASE * 3)
-                    fleet.links.mend()
-            for _ in range(20):
-                if fleet.holder() == "g4":
-                    break
-                holder = fleet.holder()
-                if holder is not None:
-                    fleet.pause(holder)
-                    await asyncio.sleep(LEASE * 2)
-                    fleet.wake(holder)
-                await asyncio.sleep(LEASE)
-            assert fleet.holder() == "g4"
+            assert await fleet.held(AFTER_ALL + 3.0) and fleet.holder() == "g4"
+            fleet.start("g5")
+            await fleet.up()
+            await asyncio.sleep(LEASE)
             fleet.links.cut("g4", "mute")
             await asyncio.sleep(LEASE * 3.5)
             return breaches(fleet.resource.acts, fleet.woken)
