Errors of a wrong place in a file have one base

Seen: FleetSettingsError and FreezesFileError held the same ten lines. Change: PlaceError in the fleet's ground floor carries the place and what to do there.

--- a/linenbridge/fleet/errors.py
+++ b/linenbridge/fleet/errors.py
@@ -27,6 +27,17 @@
         return {"kind": type(self).__name__, "what": self.what, "where": self.where, "do": self.advice}
 
 
+class PlaceError(FleetError):
+    """One wrong place in a file; `do` says what to do about this one, else the kind's advice."""
+
+    def __init__(self, what: str, where: str = "", do: str = "") -> None:
+        super().__init__(what, where)
+        self.do = do or self.advice
+
+    def __str__(self) -> str:
+        return f"{self.where}: {self.what}; {self.do}"
+
+
 class Refusal(FleetError):
     """What a core gives out as its no. `code` goes over the wire."""
 
--- a/linenbridge/fleet/freezes/premises.py
+++ b/linenbridge/fleet/freezes/premises.py
@@ -11,23 +11,16 @@
 
 from lxml import etree
 
-from linenbridge.fleet.errors import FleetError
+from linenbridge.fleet.errors import PlaceError
 from linenbridge.fleet.freezes.windows import Window
 from linenbridge.premises.read import SPACE, Premises, PremisesError, attributes, duration, read
 
 
-class FreezesFileError(FleetError):
+class FreezesFileError(PlaceError):
     """One wrong place in the file of freezes."""
 
     advice = "mend the file and send SIGHUP; until then the windows of the earlier file count"
 
-    def __init__(self, what: str, where: str = "", do: str = "") -> None:
-        super().__init__(what, where)
-        self.do = do or self.advice
-
-    def __str__(self) -> str:
-        return f"{self.where}: {self.what}; {self.do}"
-
 
 def windows(path: str) -> tuple[Window, ...]:
     """The windows of the file; PremisesError names each wrong place, a line each. "" is no file."""
--- a/linenbridge/fleet/premises.py
+++ b/linenbridge/fleet/premises.py
@@ -10,7 +10,7 @@
 
 from lxml import etree
 
-from linenbridge.fleet.errors import FleetError
+from linenbridge.fleet.errors import PlaceError
 from linenbridge.fleet.freezes.premises import windows
 from linenbridge.fleet.freezes.windows import Window
 from linenbridge.fleet.leases.quorum import Council
@@ -22,18 +22,11 @@
 RESTARTS = "restarts"  # the task whose places are the turns of planned restarts
 
 
-class FleetSettingsError(FleetError):
+class FleetSettingsError(PlaceError):
     """One wrong place in the element `fleet`."""
 
     advice = "mend the settings; until then the member goes on by the earlier ones, or does not start"
 
-    def __init__(self, what: str, where: str = "", do: str = "") -> None:
-        super().__init__(what, where)
-        self.do = do or self.advice
-
-    def __str__(self) -> str:
-        return f"{self.where}: {self.what}; {self.do}"
-
 
 @dataclass(frozen=True, slots=True)
 class Errand:
--- a/tests/fleet/test_errors.py
+++ b/tests/fleet/test_errors.py
@@ -14,7 +14,7 @@
 for module in pkgutil.walk_packages(linenbridge.fleet.__path__, "linenbridge.fleet."):
     importlib.import_module(module.name)
 PAGE = (Path(__file__).parents[2] / "docs" / "oncall-fleet.md").read_text()
-BASES = {"Refusal", "LeaseError"}
+BASES = {"Refusal", "LeaseError", "PlaceError"}
 
 
 @pytest.mark.parametrize(
