Lists are read however they are indented or cut, and with empty zones and groups

Seen: by reading, then by a test with streams in memory: a list indented over several lines ended its stream, was asked for anew, and ended that one too, again and again; the gateway never learned of a drain. An entry whose zone or group is null, or whose group is a word (a customer without zones, racks with names), made the whole list unreadable. Ruled out: chunk bounds and CRLF, which Answers and the JSON decoder took already. To blame: `Lines` (net/http.py), which cuts at each newline; `Endpoint` (net/discovery.py), with text and numbers alone.

Change: `http.Objects` cuts discovery's stream where an object's brackets close, strings passed over; one without its line's end is read at once; one that breaks off is no sign of life, so the silence is doubted as any. The feed, whose spoilt lines end its stream at once, keeps to lines. Null is no zone and group 0; a group may be a word.

--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -104,7 +104,7 @@
     instance: Id
     build: int
     zone: str
-    cell: int
+    cell: Id
     state: int
     size: float
     started: int
--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from linenbridge import interface as face
+from linenbridge.net import http
 from linenbridge.net.follow import Follow
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
@@ -37,8 +38,8 @@
     address: str
     status: Literal["active", "leaving", "left"]
     release: int
-    zone: str = ""
-    group: int = 0
+    zone: str | None = ""
+    group: int | str | None = 0
     weight: float = 1.0
     since_ms: float = 0.0
 
@@ -68,7 +69,9 @@
     ) -> None:  # fmt: skip
         self.loop, self.takers, self.log = loop, takers, log
         self.unix_offset, self.pushes, self.index = unix_offset, pushes, 0
-        self.follow = follow(name="discovery", path=self._path, told=self.told, sign=SIGN_OF_LIFE)
+        self.follow = follow(
+            name="discovery", path=self._path, told=self.told, sign=SIGN_OF_LIFE, cut=http.Objects
+        )
 
     def _path(self) -> str:
         return f"/catalog/members?follow=1&since={self.index}"
@@ -108,5 +111,5 @@
         """Unix milliseconds become the gateway's microseconds: here alone, and always to the same figure."""
         started = round(row.since_ms * 1000) + self.unix_offset if row.since_ms else LONG_AGO
         return face.ListEntry(
-            row.name, row.release, row.zone, row.group, STATES[row.status], row.weight, started
+            row.name, row.release, row.zone or "", row.group or 0, STATES[row.status], row.weight, started
         )
--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -1,4 +1,4 @@
-"""One HTTP answer that never ends, a JSON object a line: kept up for the life of the process.
+"""One HTTP answer that never ends, JSON objects one after another: kept up for the life of the process.
 
 Owns the connections it is read from: one, and a second while the first is silent, since a dead link says
 nothing, or while it moves to another address. It must never read a line's meaning; whoever follows is handed
@@ -26,7 +26,7 @@
 
     def __init__(self, follow: Follow) -> None:
         self.follow, self.address = follow, follow.address
-        self.answers, self.lines = http.Answers(), http.Lines(follow.most)
+        self.answers, self.lines = http.Answers(), follow.cut(follow.most)
         self.over = self.spoke = False
 
     def connectionMade(self) -> None:
@@ -57,10 +57,11 @@
     def __init__(
         self, name: str, reactor: Any, address: tuple[str, int], path: Callable[[], str],
         told: Callable[[memoryview], None], sign: float, connect_wait: int, most: int, log: Log,
+        cut: Callable[[int], http.Cutter] = http.Lines,
     ) -> None:  # fmt: skip
         self.name, self.reactor, self.address, self.path, self.told = name, reactor, address, path, told
         self.silence, self.connect_wait = MISSED * sign, connect_wait / 1e6
-        self.most, self.log = most, log
+        self.most, self.log, self.cut = most, log, cut
         self.streams: list[Stream] = []
         self.coming: Any = None
         self.timer: Any = None
--- a/linenbridge/net/http.py
+++ b/linenbridge/net/http.py
@@ -8,13 +8,14 @@
 
 import re
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from linenbridge.net.resp import END, MalformedError
 
 HEAD_MOST = 64 * 1024  # of a status line with its fields: what RESP allows a value
 HEX = b"0123456789abcdefABCDEF"
 NEWLINE = re.compile(rb"\n")
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 
 
 class Piece(NamedTuple):
@@ -127,6 +128,12 @@
         return Piece(self.status, view[start:start], True), end + 2
 
 
+class Cutter(Protocol):
+    """Cuts the pieces of a body that never ends into what is told one by one."""
+
+    def feed(self, piece: memoryview) -> Iterator[memoryview]: ...
+
+
 class Lines:
     """Cuts pieces into lines; a line within one piece is a slice of it, the rest is copied until its end."""
 
@@ -146,6 +153,49 @@
             raise MalformedError("a line is too long")
 
 
+class Objects:
+    """Cuts pieces into JSON objects, on one line each or indented over many: one ends where its brackets
+    close, with the line or without. An empty line outside of any is passed on as it came; within one it is
+    white space. One that breaks off holds what comes after it, up to `most`: nothing is heard from then."""
+
+    def __init__(self, most: int) -> None:
+        self.lines, self.most = Lines(most), most
+        self.held: list[bytes] = []
+        self.size = self.open = 0
+
+    def feed(self, piece: memoryview) -> Iterator[memoryview]:
+        for line in self.lines.feed(piece):
+            if (whole := self._take(bytes(line) + b"\n")) is not None:
+                yield whole
+        if self.lines.begun[-1:] == b"}":
+            rest = bytes(self.lines.begun)
+            if (opened := _opened(rest)) is not None and self.open + opened == 0:
+                self.lines.begun.clear()
+                if (whole := self._take(rest)) is not None:
+                    yield whole
+
+    def _take(self, line: bytes) -> memoryview | None:
+        opened = _opened(line)
+        if opened is None:
+            raise MalformedError("a string does not end on its line")
+        self.held.append(line)
+        self.size, self.open = self.size + len(line), self.open + opened
+        if self.size > self.most:
+            raise MalformedError("an object is too long")
+        if self.open > 0:
+            return None
+        whole, self.held, self.size, self.open = b"".join(self.held), [], 0, 0
+        return memoryview(whole)
+
+
+def _opened(text: bytes | bytearray) -> int | None:
+    """How many brackets a text opens and does not close; None where a string has not ended."""
+    bare = STRING.sub(b"", text)
+    if b'"' in bare:
+        return None
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+
+
 def request(method: str, path: str, host: str, body: bytes = b"") -> bytes:
     """A request as it goes out."""
     fields = f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n" if body else ""
--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -36,7 +36,7 @@
         self.ids: list[Id] = []
         self.build: list[int] = []
         self.zone: list[str] = []
-        self.cell: list[int] = []
+        self.cell: list[Id] = []
         self.state: list[int] = []
         self.size: list[float] = []
         self.started: list[int] = []
--- /dev/null
+++ b/tests/net/test_lists.py
@@ -0,0 +1,87 @@
+"""Lists in whatever form they come: on a line, indented, in pieces, with fields left out."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+
+import pytest
+
+from linenbridge.net import http, resp
+
+from tests.net.bench import HEAD, Bench
+
+NAME = 's {"}[\\'
+ROW = dict(name=NAME, address="10.0.0.3:6379", status="active", release=1, zone="a", group=3)
+
+
+def listing(index: int) -> dict:
+    return dict(index=index, snapshot=False, endpoints=[ROW | dict(since_ms=index)])
+
+
+def told(bench: Bench) -> list[int]:
+    lists = [told[1] for told in bench.module.told if told[0] == "on_list"]
+    return [entries[0].started for entries in lists if entries[0].instance == NAME]
+
+
+@pytest.mark.parametrize("ending", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("indent", [None, 0, 1, 2, "\t"])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_list_is_read_however_it_is_indented_and_cut(bench, seed, indent, ending):
+    dice = Random(seed)
+    bench.discovery.start()
+    stream, lists = bench.up(), [listing(n) for n in range(8, 16)]
+    stream.protocol.dataReceived(HEAD)
+    body = b""
+    for one in lists:
+        text = json.dumps(one, indent=indent).encode().replace(b"\n", ending)
+        body += text + ending + dice.choice((b"", ending, b"  " + ending))
+    while body:
+        cut = dice.choice((1, 2, 30, 700))
+        stream.protocol.dataReceived(b"%x\r\n%b\r\n" % (len(body[:cut]), body[:cut]))
+        body = body[cut:]
+    bench.turn()
+    assert told(bench) == [n * 1000 + 1_000 for n in range(8, 16)]
+    assert stream.connected and bench.discovery.index == 15
+    assert ("malformed", "discovery") not in bench.log.counts
+
+
+def test_a_list_that_ends_without_its_line_is_read_at_once(bench):
+    bench.discovery.start()
+    stream, text = bench.up(), json.dumps(listing(8), indent=2).encode()
+    stream.protocol.dataReceived(HEAD + b"%x\r\n%b\r\n" % (len(text), text))
+    bench.turn()
+    assert told(bench) == [9_000]
+    stream.protocol.dataReceived(b"1\r\n\n\r\n")
+    stream.protocol.dataReceived(b"%x\r\n%b\n\r\n" % (len(text) + 1, text.replace(b"8", b"9")))
+    bench.turn()
+    assert told(bench) == [9_000, 10_000] and stream.connected
+
+
+def test_a_list_that_breaks_off_is_no_sign_of_life_and_another_stream_is_asked(bench):
+    bench.discovery.start()
+    stream, text = bench.up(), json.dumps(listing(8), indent=2).encode()[:-1] + b"\n"
+    stream.protocol.dataReceived(HEAD + b"%x\r\n%b\r\n" % (len(text), text))
+    for _ in range(4):
+        bench.turn(2)
+        stream.protocol.dataReceived(b"1\r\n\n\r\n")
+    assert len(bench.reactor.tcpClients) == 2 and told(bench) == []
+    text = json.dumps(listing(8)).encode() + b"\n"
+    bench.up().protocol.dataReceived(HEAD + b"%x\r\n%b\r\n" % (len(text), text))
+    bench.turn()
+    assert told(bench) == [9_000] and not stream.connected
+
+
+@pytest.mark.parametrize("fields", [dict(zone=None, group=None), dict(group="rack-9"), dict(zone="südost")])
+def test_fields_that_another_customer_leaves_empty_or_words_otherwise_are_read(bench, fields):
+    text = json.dumps(listing(8) | dict(endpoints=[ROW | fields | dict(since_ms=8)])).encode()
+    bench.discovery.told(memoryview(text))
+    bench.turn()
+    entry = bench.module.told[-1][1][0]
+    assert (entry.zone, entry.cell) == (fields.get("zone", "a") or "", fields.get("group", 3) or 0)
+
+
+@pytest.mark.parametrize("text", [b'{"a": "b\n"}\n', b"{" + b"[\n" * 60, b"x" * 101])
+def test_what_is_no_json_or_too_long_is_refused(text):
+    with pytest.raises(resp.MalformedError):
+        list(http.Objects(100).feed(memoryview(text)))
