A pick that waits for a connection is not sent once its RPC is over

Seen: by reading and in memory: a pick decided while no connection stood was written whenever one came up, though its client had left or the RPC had had its final answer, by the module or by another copy. Ruled out: the module, which takes the RPC off its own queue at once (`Known.on_gone`, `OpenRpcs.end`); picks already written, which stay out until their own end as before. To blame: `Loop._end`, which told nobody, and `Instances`, which ended a waiting pick by its time, the list or a cancel alone.

Change: `Loop._end` tells the carrier (`withdraw`); a pick without a connection ends there as unsent; the connection that comes up serves the next one. Tried: the three cases of the new test fail with the call taken out.

--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -182,6 +182,13 @@
         if (pick := self.picks.get((rpc.id, number))) is not None:
             self._ended(pick, face.CANCELLED if pick.line else face.UNSENT)
 
+    def withdraw(self, rpc: Taken) -> None:
+        """Picks of an RPC that is over: none that waits for a connection is written any more."""
+        for number in range(rpc.picks):
+            pick = self.picks.get((rpc.id, number))
+            if pick is not None and pick.line is None:
+                self._ended(pick, face.UNSENT)
+
     def _write(self, line: Line, pick: Pick) -> None:
         line.pick, pick.line = pick, line
         write_out(line.transport, pick.rpc.load.command(pick.until - self.loop.now()))
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -23,6 +23,7 @@
 
     def pick(self, now: int, rpc: Taken, number: int, instance: face.Id, time_out: int) -> None: ...
     def cancel(self, rpc: Taken, number: int) -> None: ...
+    def withdraw(self, rpc: Taken) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -171,9 +172,11 @@
             taken.answer(outcome, retry_after, value)
 
     def _end(self, taken: Taken) -> None:
-        """The one place where an RPC's duty ends; it is forgotten once its last pick has ended too."""
+        """The one place where an RPC's duty ends; it is forgotten once its last pick has ended too. A pick
+        that has not left by now never does: nothing is sent for an RPC that is over."""
         taken.ended = True
         self.unanswered -= 1
+        taken.carrier.withdraw(taken)
         if not taken.out:
             self.open.pop(taken.id, None)
 
--- a/linenbridge/processor/front.py
+++ b/linenbridge/processor/front.py
@@ -340,6 +340,9 @@
     def cancel(self, taken: Taken, number: int) -> None:
         """A proxy cannot be called back: the pick goes on, and the module hears of its end as of any."""
 
+    def withdraw(self, taken: Taken) -> None:
+        """Nothing waits here to be sent: what is reserved and not yet handed out is ended with the answer."""
+
     def answered(self, entry: Entry, outcome: str, retry_after: int, value: object) -> None:
         """The module's final answer, to whichever stream still waits for one."""
         now = self.loop.now()
--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -186,3 +186,29 @@
     bench.say((face.PICK, "id1", "s-1", 500_000))
     bench.turn()
     assert bench.outcomes() == [("id1", 0, face.UNSENT)] and list(bench.instances.places) == ["s-2"]
+
+
+@pytest.mark.parametrize("over", ["client left", "answered", "other copy"])
+def test_a_pick_that_waits_for_a_connection_is_not_sent_once_its_rpc_is_over(bench, over):
+    bench.list(("s-1", 1, "active", 0), ("s-2", 2, "active", 0))
+    client = bench.client()
+    bench.send(client, "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    match over:
+        case "client left":
+            client.lose()
+        case "answered":
+            bench.say((face.ABORT, "id1"))
+        case "other copy":
+            bench.say((face.PICK, "id1", "s-2", 500_000))
+            bench.dialled += 1  # The connection to s-2 comes up first.
+            second = bench.up()
+            second.protocol.dataReceived(b"*3\r\n$1\r\n2\r\n$-1\r\n$-1\r\n")
+            bench.dialled -= 2
+    bench.turn()
+    assert ("id1", 0, face.UNSENT) in bench.outcomes() and not bench.loop.open and not bench.instances.picks
+    late = bench.up()
+    assert late.taken() == b"" and late.connected
+    bench.send(bench.client(), "id2")
+    bench.say((face.PICK, "id2", "s-1", 500_000))
+    assert b"id2" in late.taken()
