--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -17,14 +17,20 @@
 from linenbridge.net import resp
 from linenbridge.net.instances import Descriptors
 from linenbridge.net.log import Log
-from linenbridge.net.loop import PUSHED_BACK, Carrier, Loop, Taken, untouched, write_out
+from linenbridge.net.loop import PUSHED_BACK, Carrier, Loop, Taken, read_out, untouched, watch_end, write_out
 
 LAST_CONNECTIONS = 0.4 + 0.05  # PROTOCOL, Figures and rules: how long after SIGTERM new ones come, in s
+LAST_COMMANDS = 0.7  # PROTOCOL, Figures: what comes later than this after SIGTERM may be met by SIGKILL, in s
 QUIET = 2_000_000  # LATER, The long day: a connection with no open RPC may be closed after 2 s
 BATCH = 21  # Twisted's Port, doRead: after a batch of one it accepts up to twenty more in the next
 COMMANDS = {b"SVC.QUERY": True, b"SVC.SUBMIT": False}  # whether they take methods that may run again
 
 
+# The life of a client's connection, one way only: commands are read; what is owed is still answered, nothing
+# more is read; our sending has ended and the client's end is waited for.
+OPEN, DRAINING, LINGERING = range(3)
+
+
 class UnfitError(ValueError):
     """A command that is no RPC; the text goes to the client."""
 
@@ -59,7 +65,8 @@
         self.clients = clients
         self.reader = resp.Reader(commands=True)
         self.owed: deque[Owed] = deque()
-        self.leaving = self.deaf = self.asked = False
+        self.state = OPEN
+        self.asked = self.reading = False
         self.held, self.since = 0, 0
 
     def connectionMade(self) -> None:
@@ -69,8 +76,9 @@
         self.clients.waits(self)
 
     def dataReceived(self, data: bytes) -> None:
-        if self.deaf:
+        if self.state != OPEN:
             return
+        self.reading = True  # It must not be let go while commands lie in what was read.
         try:
             for words in self.reader.feed(data):
                 owed = Owed(self)
@@ -83,38 +91,49 @@
                     owed.answer((f"-ERR {error}\r\n".encode(),))
         except resp.MalformedError as error:
             self.clients.log.rarely("malformed", "client", error=str(error))
+            self.reading = False
             self.refuse(str(error))
-        self.clients.holds(self, 0 if self.deaf else self.reader.size)
-        if not self.owed:
+        self.reading = False
+        if self.state == OPEN:
+            self.clients.holds(self, self.reader.size)
+        if self.state == OPEN and not self.owed:
             self.clients.waits(self)
+        if self.clients.closing and not self.reader.size:
+            self.leave()
 
     def refuse(self, error: str) -> None:
         """The one error line, after all that is owed before it, and the close. What still comes is not read:
         it can't be, or has come too late."""
-        self.deaf = self.leaving = True
-        self.reader = resp.Reader(commands=True)
-        self.transport.pauseProducing()
-        self.owed.append(owed := Owed(self))
-        owed.answer((f"-ERR {error}\r\n".encode(),))
+        if self.state == OPEN:
+            self._drain()
+            self.owed.append(owed := Owed(self))
+            owed.answer((f"-ERR {error}\r\n".encode(),))
+
+    def leave(self) -> None:
+        """Close as soon as nothing is owed."""
+        if self.state == OPEN:
+            self._drain()
+            self.flush()
+
+    def _drain(self) -> None:
+        """No command is read any more: what comes was not taken, its client sends it once more elsewhere."""
+        self.state, self.reader = DRAINING, resp.Reader(commands=True)
+        self.clients.holds(self, 0)
+        watch_end(self.transport)
 
     def flush(self) -> None:
         """Answers go out in the order of the commands, each once all before it have gone."""
         while self.owed and self.owed[0].words is not None:
             write_out(self.transport, b"".join(self.owed.popleft().words or ()))
-        if not self.owed:
-            leaving = self.leaving  # It may be told to go by its own turn to wait.
-            self.clients.waits(self)
-            if leaving:
-                # What comes before the close is done was not read: the client sends it once more elsewhere.
-                self.deaf = True
-                self.transport.pauseProducing()
-                self.transport.unregisterProducer()
-                self.transport.loseConnection()
-
-    def leave(self) -> None:
-        """Close as soon as nothing is owed."""
-        self.leaving = True
-        self.flush()
+        if self.owed or self.reading or self.state == LINGERING:
+            return
+        if self.state == DRAINING:
+            # Only our sending ends. A close with something unread would be a reset, and that takes with it
+            # what the client has not read yet: the answers just written.
+            self.state = LINGERING
+            self.transport.unregisterProducer()
+            self.transport.loseWriteConnection()
+        self.clients.waits(self)
 
     def connectionLost(self, reason: Any) -> None:
         """The one place where a client's connection and all that was owed on it are given back."""
@@ -146,7 +165,7 @@
         self.going: dict[Client, None] = {}
         self.timer: Any = None
         self.port: Any = None
-        self.paused = False
+        self.paused = self.closing = False
         self.stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
@@ -168,10 +187,10 @@
 
     def waits(self, client: Client) -> None:
         """Nothing is owed on it; one that goes on with what it has half sent stands where it stood."""
-        kind = self.going if client.leaving else self.silent
+        kind = self.silent if client.state == OPEN else self.going
         if client not in self.open:
             return
-        if client.asked and not client.reader.size and not client.leaving:
+        if client.asked and not client.reader.size and client.state == OPEN:
             kind = self.idle
         elif client in kind:
             return
@@ -188,7 +207,7 @@
 
     def _sweep(self) -> None:
         """Who has asked nothing, or half of something, for the whole time is told so and closed; who was told
-        and has not read it is cut off. The others of `idle` go only where room is short."""
+        and has not closed its end is cut off. The others of `idle` go only where room is short."""
         before = self.loop.now() - QUIET
         for client in [client for client in self.silent if client.since <= before]:
             if not client.reader.size and not untouched(client.transport):
@@ -228,6 +247,8 @@
         of clients that ask once and stay would else keep all others out. Where these are too few, new ones
         wait in the system's queue, where time runs on."""
         before = self.loop.now() - QUIET
+        for client in list(self.going)[: max(0, BATCH + 1 - self.descriptors.left())]:
+            client.transport.abortConnection()
         free = [client for client in self.idle if client.since <= before]
         free += [client for client in self.silent if not client.reader.size]
         free += [client for client in self.idle if client.since > before]
@@ -239,7 +260,7 @@
                 self.log.count("client.spared")
                 # To one that has asked before an error line would pass as the answer to what it asks next.
                 client.leave() if client in self.idle else client.refuse("room is short, nothing was asked")
-        if self.paused != self._short():
+        if not self.closing and self.paused != self._short():
             self.paused = not self.paused
             (self.port.stopReading if self.paused else self.port.startReading)()
             self.log.rarely("accept", "paused" if self.paused else "resumed", clients=len(self.open))
@@ -251,7 +272,7 @@
         self.busy(client)
         self.holds(client, 0)
         self.descriptors.give_back()
-        if self.paused and self.port is not None:
+        if self.paused:
             self._make_room()
         self._last()
 
@@ -298,20 +319,38 @@
 
     def stop(self, reactor: Any, stopped: Callable[[], None]) -> None:
         """Serve on while new connections may still come, then let go of each as soon as nothing is owed."""
-        if self.stopped is None:
-            self.stopped = stopped
+        if self.stopped is not None:
+            return
+        self.stopped = stopped
+        if self.port is None:
+            self.closing = True
+            self._last()
+        else:
             reactor.callLater(LAST_CONNECTIONS, self._close)
 
     def _close(self) -> None:
-        port, self.port = self.port, None
-        port.stopListening()
+        """Whoever waits to be accepted is; what lies unread is taken. A connection on which nothing has been
+        asked yet has its first command on the way: it is waited for while that can still be answered."""
+        self.port.numberAccepts = self.descriptors.left()
+        self.port.doRead()
+        self.port.stopListening()
+        self.closing, self.paused = True, False
+        for client in list(self.open):
+            if not client.owed and not untouched(client.transport):
+                read_out(client.transport)
+            if client.asked:
+                client.leave()
+        self.reactor.callLater(LAST_COMMANDS - LAST_CONNECTIONS, self._close_all)
+        self._last()
+
+    def _close_all(self) -> None:
         for client in list(self.open):
             client.leave()
         self._last()
 
     def _last(self) -> None:
-        if self.stopped is not None and self.port is None and not self.open:
-            if self.timer is not None:
+        if self.stopped is not None and self.closing and not self.open:
+            if self.timer is not None and self.timer.active():
                 self.timer.cancel()
             stopped, self.stopped = self.stopped, lambda: None
             stopped()
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -12,6 +12,8 @@
 from socket import MSG_PEEK
 from typing import Any, Protocol
 
+from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
+
 from linenbridge import interface as face
 from linenbridge.net.log import Log
 
@@ -212,6 +214,24 @@
     return False
 
 
+def watch_end(transport: Any) -> None:
+    """From now on nothing is read from a connection, but its end is noticed, unless something unread lies
+    before it: that is left where it is, and who waits for the end has to bound the wait."""
+
+    def look() -> Any:
+        try:
+            if not transport.socket.recv(1, MSG_PEEK):
+                return CONNECTION_DONE
+        except BlockingIOError:
+            return None
+        except OSError:
+            return CONNECTION_LOST
+        transport.stopReading()
+        return None
+
+    transport.doRead = look
+
+
 def read_out(transport: Any) -> None:
     """What lies unread on a connection that is about to be let go is read first."""
     if transport.connected:
--- /dev/null
+++ b/tests/net/loopback.py
@@ -0,0 +1,206 @@
+"""A gateway in a process of its own on loopback, and far sides that do as the test says, byte by byte.
+
+Owns the process and the sockets. It must never decide what a test asserts; every wait is bounded.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import linenbridge
+from linenbridge.net import resp
+
+ROOT = Path(linenbridge.__file__).parents[1]
+WAIT = 10.0  # no step of a test takes longer than this
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class EndError(Exception):
+    """The far side has ended its sending."""
+
+
+class Wire:
+    """One connection: what is sent and read on it, as the test says."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock, self.held = sock, b""
+        sock.settimeout(WAIT)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def until(self, end: bytes) -> bytes:
+        while end not in self.held:
+            more = self.sock.recv(1 << 16)
+            if not more:
+                raise EndError(self.held)
+            self.held += more
+        got, _, self.held = self.held.partition(end)
+        return got + end
+
+    def rest(self) -> bytes:
+        """All that comes until the far side ends; a reset fails the test."""
+        while more := self.sock.recv(1 << 16):
+            self.held += more
+        got, self.held = self.held, b""
+        return got
+
+    def command(self) -> list[bytes]:
+        """One command of RESP, whole."""
+        words = int(self.until(b"\r\n")[1:-2])
+        got = []
+        for _ in range(words):
+            size = int(self.until(b"\r\n")[1:-2])
+            while len(self.held) < size + 2:
+                if not (more := self.sock.recv(1 << 16)):
+                    raise EndError(self.held)
+                self.held += more
+            got.append(self.held[:size])
+            self.held = self.held[size + 2 :]
+        return got
+
+    def quiet(self, seconds: float) -> bool:
+        """Whether nothing comes for so long, neither bytes nor an end."""
+        self.sock.settimeout(seconds)
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK) is None
+        except TimeoutError:
+            return True
+        finally:
+            self.sock.settimeout(WAIT)
+
+    def chunk(self, value: object) -> None:
+        text = value if isinstance(value, bytes) else json.dumps(value).encode() + b"\n"
+        self.send(b"%x\r\n%b\r\n" % (len(text), text))
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.sock.close()
+
+
+class Far:
+    """One far side's listener: the test accepts by hand."""
+
+    def __init__(self, backlog: int = 50) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.listener.settimeout(WAIT)
+        self.address = "{}:{}".format(*self.listener.getsockname())
+
+    def accept(self) -> Wire:
+        return Wire(self.listener.accept()[0])
+
+    def none_comes(self, seconds: float) -> bool:
+        self.listener.settimeout(seconds)
+        try:
+            self.listener.accept()[0].close()
+            return False
+        except TimeoutError:
+            return True
+        finally:
+            self.listener.settimeout(WAIT)
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+class Running:
+    """A gateway's process before one instance, discovery and the platform; `tell` makes the watch speak."""
+
+    def __init__(self, folder: Path, known: bool = True, tell: bool = True, **permissions: object) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as port:
+            self.port = port.getsockname()[1]
+        self.instance, self.discovery, self.platform = Far(), Far(), Far()
+        told = json.loads((ROOT / "examples" / "config.json").read_text())
+        told |= {"listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address}
+        told["platform"]["address"] = self.platform.address
+        told["known"]["endpoints"] = [self.row()] if known else []
+        told["settings"]["permissions"] |= permissions
+        self.told, self.path = told, folder / "config.json"
+        self.configure()
+        self.events: list[dict] = []
+        self.come = threading.Condition()
+        self.run = subprocess.Popen(
+            [sys.executable, "-m", "linenbridge"], cwd=ROOT, stderr=subprocess.PIPE,
+            env={**os.environ, "LB_CONFIG": str(self.path)},
+        )  # fmt: skip
+        self.reader = threading.Thread(target=self._read, daemon=True)
+        self.reader.start()
+        self.watch = self.discovery.accept()
+        if tell:
+            self.watch.send(HEAD)
+            self.watch.chunk(b"\n")
+
+    def row(self, **fields: object) -> dict:
+        return {"name": "s-1", "address": self.instance.address, "status": "active", "release": 1, **fields}
+
+    def configure(self, **fields: object) -> None:
+        self.path.write_text(json.dumps(self.told | fields))
+
+    def _read(self) -> None:
+        assert self.run.stderr is not None
+        for line in self.run.stderr:
+            with self.come:
+                self.events.append(json.loads(line) if line.startswith(b"{") else {"event": line.decode()})
+                self.come.notify_all()
+
+    def until(self, name: str) -> dict:
+        """The first line of that event, once it has been written."""
+        with self.come:
+            assert self.come.wait_for(lambda: any(e["event"] == name for e in self.events), WAIT), self.events
+            return next(e for e in self.events if e["event"] == name)
+
+    def client(self, buffer: int = 0) -> Wire:
+        """A new connection, with so small a buffer for what it has not read yet."""
+        self.until("started")
+        sock = socket.socket()
+        if buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        sock.connect(("127.0.0.1", self.port))
+        return Wire(sock)
+
+    def signal(self, number: int) -> float:
+        self.run.send_signal(number)
+        return time.monotonic()
+
+    def ended(self) -> int:
+        code = self.run.wait(WAIT)
+        self.reader.join(WAIT)
+        return code
+
+    def __enter__(self) -> Running:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self.run.poll() is None:
+            self.run.send_signal(signal.SIGCONT)
+            self.run.kill()
+            self.run.wait()
+        self.reader.join(WAIT)
+        self.run.stderr.close()
+        for far in (self.instance, self.discovery, self.platform):
+            far.close()
+
+
+def ask(rpc: str, method: str = "look", wait: int = 1900) -> bytes:
+    name = b"SVC.QUERY" if method == "look" else b"SVC.SUBMIT"
+    return resp.command([name, b"key", rpc.encode(), f"c={method},d={wait}".encode()])
+
+
+PING = resp.command([b"PING"])
+
+
+def answer(value: bytes) -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
