--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -81,6 +81,11 @@
         if self.pushes:
             self.follow.start()
 
+    def once_told(self, call: Callable[[], object]) -> None:
+        """When discovery has first said what it has, or let a sign of life's time pass: it is silent then."""
+        self.follow.first = call
+        self.follow.reactor.callLater(SIGN_OF_LIFE, call)
+
     def watch(self) -> None:
         self.follow.start()
 
--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -67,6 +67,7 @@
         self.timer: Any = None
         self.well: bool | None = None
         self.started = False
+        self.first: Callable[[], object] = lambda: None  # called once, when it has first spoken
 
     def start(self) -> None:
         """One more connection, unless one is coming up; it has as long to speak as silence may last."""
@@ -124,6 +125,8 @@
         if bytes(line).strip():
             self.told(line)
         stream.spoke = True
+        first, self.first = self.first, lambda: None
+        first()
         if present:
             self._state(True, "")
             self._arm(self.silence)
--- a/linenbridge/process/gateway.py
+++ b/linenbridge/process/gateway.py
@@ -27,10 +27,16 @@
     log = Log(sys.stderr.buffer)
     reactor = lifetime.begin(log)
     parts = build(at, log, reactor)
-    clients, instances, _, _, loop = parts
+    clients, instances, _, discovery, loop = parts
     reactor.serve(loop)
-    clients.listen(reactor, *host_port(at.listen))
-    log.event("started", gateway=at.name, listen=at.listen)
+
+    def serve() -> None:
+        """Not before the list has been told: what discovery's agent has counts from the first moment on."""
+        if clients.port is None and not clients.closing:
+            clients.listen(reactor, *host_port(at.listen))
+            log.event("started", gateway=at.name, listen=at.listen)
+
+    discovery.once_told(serve)
 
     def stop() -> None:
         log.event("stopping", open=loop.unanswered)
--- /dev/null
+++ b/tests/net/test_starts.py
@@ -0,0 +1,41 @@
+"""The first moments of a process: what it may not know yet, and what may come before it serves."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.net.loopback import HEAD, Running, answer, ask
+
+
+def test_nobody_is_served_by_the_list_of_an_earlier_life(tmp_path):
+    """What discovery's agent has counts from the first moment of a new process: an instance that drains there
+    gets nothing, however stale the configuration's list is."""
+    with Running(tmp_path, tell=False) as gateway:
+        time.sleep(0.5)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(("127.0.0.1", gateway.port))
+        gateway.watch.send(HEAD)
+        gateway.watch.chunk({"index": 1, "snapshot": True, "endpoints": [gateway.row(status="leaving")]})
+        client = gateway.client()
+        client.send(ask("id1", wait=300))
+        assert client.until(b"\r\n").startswith(b"-BUSY")
+        assert gateway.instance.none_comes(0.1)
+
+
+def test_a_discovery_that_stays_silent_does_not_keep_a_new_process_from_serving(tmp_path):
+    with Running(tmp_path, tell=False) as gateway:
+        client = gateway.client()
+        client.send(ask("id1"))
+        line = gateway.instance.accept()
+        line.send(answer(line.command()[2]))
+        assert client.until(b"id1\r\n")
+
+
+def test_a_stop_before_the_first_list_ends_at_once(tmp_path):
+    with Running(tmp_path, tell=False) as gateway:
+        gateway.signal(signal.SIGTERM)
+        assert gateway.ended() == 0
