A tokened RPC's window counts until its repeat gets there, and until its client comes again

Seen: by reading, then in the module alone: the guard against a second effect asked whether the window was open when a further pick is decided. A pick may wait for a connection first, for as long as the settings' connect_timeout, and is written behind the window then; and a tokened RPC whose repeats all instances drop was pushed back whatever its window, with a time to come again that may lie behind it. Ruled out: where the window begins (the decision of the first pick that may have run, never later than its send), the group. To blame: `Guards._may_pick` and `_final`.

Change: one question for both, `_remembered`: is what is sent then still known as a repeat when it gets there.

--- a/linenbridge/choice/guards.py
+++ b/linenbridge/choice/guards.py
@@ -33,7 +33,13 @@
         method = self.methods[rpc.method]
         if ran is None or method.effect == IDEMPOTENT:
             return True
-        return method.effect == TOKENED and now < ran.sent + method.token_window - self.sweep
+        return method.effect == TOKENED and self._remembered(now, rpc)
+
+    def _remembered(self, at: int, rpc: Rpc) -> bool:
+        """Rule 2 for tokened RPCs: whether what is sent at that time is still known as a repeat when it gets
+        there, by the first pick that may have run; it may wait for a connection first."""
+        window = self.methods[rpc.method].token_window - self.sweep - self.allow.connect_wait
+        return (ran := rpc.first_that_may_have_run()) is None or at < ran.sent + window
 
     def _in_group(self, rpc: Rpc, i: int) -> bool:
         """Rule 2 for tokened RPCs: a repeat stays among the instances that drop it."""
@@ -43,13 +49,14 @@
         group = fleet.zone if method.group == "zone" else fleet.cell
         return group[i] == group[ran.instance]
 
-    def _final(self, rpc: Rpc) -> tuple:
+    def _final(self, now: int, rpc: Rpc) -> tuple:
         """Rules 1 and 2: the one final answer; a pushback only where a repeat is harmless."""
         self.rpcs.end(rpc)
-        method, ran = self.methods[rpc.method], rpc.first_that_may_have_run()
-        harmless = method.effect == IDEMPOTENT or (method.effect == TOKENED and method.group == "all")
-        if ran is None or harmless:
-            return PUSH_BACK, rpc.id, min(RETRY_AFTER, self.allow.retry_after_most)
+        method, wait = self.methods[rpc.method], min(RETRY_AFTER, self.allow.retry_after_most)
+        # It comes again when it is told to: while that is still known as a repeat everywhere.
+        known = method.effect == TOKENED and method.group == "all" and self._remembered(now + wait, rpc)
+        if rpc.first_that_may_have_run() is None or method.effect == IDEMPOTENT or known:
+            return PUSH_BACK, rpc.id, wait
         return ABORT, rpc.id
 
     def _holds(self, build: int) -> bool:
--- a/linenbridge/choice/placing.py
+++ b/linenbridge/choice/placing.py
@@ -125,7 +125,7 @@
             self.watch_at = None
             yield (WATCH,)
         for rpc in self.rpcs.overdue(now):
-            yield self._final(rpc)
+            yield self._final(now, rpc)
         if now >= self.sweep_at:
             yield from self._doubt(now)
             self.sweep_at = now + (self.sweep if self.rpcs else IDLE)
@@ -152,14 +152,14 @@
             full = sum(pick.outcome == FULL for pick in rpc.picks) >= FULL_MOST
             spent = full or len(rpc.picks) >= self.allow.max_picks or now >= rpc.deadline - LAST_MOMENT
             if spent or (new and self._sheds(now, rpc.utility)) or not self._may_pick(now, rpc):
-                yield self._final(rpc)
+                yield self._final(now, rpc)
                 continue
             self.work_taken += rpc.cost * new
             i = None if fresh and rpc.method in crowded else self._target(now, rpc)
             if i is not None:
                 yield self._send(now, rpc, i)
             elif late:
-                yield self._final(rpc)
+                yield self._final(now, rpc)
             else:
                 self.waiting.append(rpc)
                 if fresh:
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -86,6 +86,7 @@
     gateways: int
     may_tell: bool
     idle_close: int
+    connect_wait: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/linenbridge/startup.py
+++ b/linenbridge/startup.py
@@ -132,5 +132,6 @@
             gateways=info.balancers,
             may_tell=allow.may_tell,
             idle_close=micros(allow.idle_close),
+            connect_wait=micros(allow.connect_timeout),
         ),
     )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -26,7 +26,7 @@
         max_picks=3, second_copies=True, may_cancel=True, retry_after_most=SECOND, asks_for_list=False,
         cold_from=0.3, cold=4 * SECOND, fall_multiple=2.0, by_work=False,
         over_share_utility=0.1, number=0, gateways=4, may_tell=False,
-        idle_close=15 * SECOND,
+        idle_close=15 * SECOND, connect_wait=250 * MS,
     )  # fmt: skip
     for name, value in changes.items():
         (plan if name in plan else allow)[name] = value
