A tenant is known by its name in the settings whatever its letters

Seen: by reading, then in memory: the field t was read as Latin-1, the settings are UTF-8, so a tenant called rederi-öst was nobody the settings know: no share bound it, and all such tenants shared one row. Ruled out: methods, which are compared as bytes; ids, which only have to come back as they came. To blame: Clients.command. Change: UTF-8, what is none replaced. Tried: the test fails with the change taken out.

--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -313,7 +313,7 @@
         # Nobody waits longer than the settings say; a longer time would only keep what is forgotten open.
         ttl = min(int(wait) * 1000, self.longest)
         hint = int(work) if work else None
-        self.loop.take(owed.taken, ttl, hint, tenant.decode("latin-1"), key.decode("latin-1"))
+        self.loop.take(owed.taken, ttl, hint, tenant.decode("utf-8", "replace"), key.decode("latin-1"))
 
     # ---- the stop --------------------------------------------------------------------------------
 
--- a/tests/net/test_clients.py
+++ b/tests/net/test_clients.py
@@ -37,6 +37,17 @@
     assert len(bench.module.told) == before
 
 
+@pytest.mark.parametrize(
+    "tenant, known", [("rederi-öst".encode(), "rederi-öst"), (b"\xff\xfe", "\ufffd\ufffd")]
+)
+def test_a_tenant_is_known_by_its_name_in_the_settings_whatever_its_letters(bench, tenant, known):
+    bench.client().protocol.dataReceived(
+        resp.command([b"SVC.QUERY", b"key", b"id1", b"c=look,d=900,t=" + tenant])
+    )
+    bench.turn()
+    assert next(told for told in bench.module.told if told[0] == "on_rpc")[5] == known
+
+
 def test_what_is_no_resp_ends_the_connection_after_the_answers_owed_on_it(bench):
     client = bench.client()
     client.protocol.dataReceived(
