A pick that waits for a connection is placed anew when the platform's news change

Seen: by reading, then in memory: a pick decided under one cap was written whenever its connection came up, up to connect_timeout later: behind the time at which a lower cap, or none on the way back, binds (grace and 150 ms). With 0.25 s and a grace of 0.5 s it cannot show; with a time-out of 0.6 s and a grace of 0.35 s (deploy/sites/harbour-pilots.toml) it can. Ruled out: lists, which end waiting picks already (`Instances._leave`); the module, which counts the pick where it was decided. To blame: `Platform.stands` told the module alone.

Change: news that differ from the last ones withdraw what has not left (`Loop.place_anew`), and the same turn places it anew. Tried: the new test fails with the call taken out.

--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -182,6 +182,11 @@
         if not taken.out:
             self.open.pop(taken.id, None)
 
+    def place_anew(self) -> None:
+        """What the picks were decided on has changed: those that have not left yet never do."""
+        for taken in [taken for taken in self.open.values() if taken.out]:
+            taken.carrier.withdraw(taken)
+
     def _pick(self, now: int, taken: Taken, instance: face.Id, time_out: int) -> None:
         number, taken.picks, taken.out = taken.picks, taken.picks + 1, taken.out + 1
         self.log.count("picked", taken.method)
--- a/linenbridge/net/platform.py
+++ b/linenbridge/net/platform.py
@@ -110,6 +110,7 @@
     ) -> None:  # fmt: skip
         self.loop, self.reactor, self.address, self.methods, self.log = loop, reactor, address, methods, log
         self.connect_wait, self.answer_wait = connect_wait / 1e6, answer_wait / 1e6
+        self.news: News | None = None
         self.feed = follow(name="feed", path=lambda: "/api/feed", told=self.told, sign=SIGN_OF_LIFE)
 
     def start(self) -> None:
@@ -137,7 +138,12 @@
             raise MalformedError(str(error)) from None
 
     def stands(self, news: News, vote: bool) -> None:
+        """How the newest build stands. What was decided when it stood otherwise and has not left yet is
+        decided anew: its connection may come up only after a lower cap binds."""
         phase = PHASES[news.status]
+        if news != self.news:
+            self.news = news
+            self.loop.place_anew()
         self.loop.gather(
             lambda now: self.loop.gateway.on_stage(
                 now, news.version, news.step, phase, news.max_weight, vote=vote, valid=True, moot=False
--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 
 import pytest
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
@@ -11,7 +12,7 @@
 from linenbridge.net import resp
 from linenbridge.net.instances import load_report
 
-from tests.net.bench import SPOILT
+from tests.net.bench import SPOILT, STAGE
 
 
 def test_a_pick_passes_the_command_on_and_its_answer_back_as_it_came(bench):
@@ -212,3 +213,23 @@
     bench.send(bench.client(), "id2")
     bench.say((face.PICK, "id2", "s-1", 500_000))
     assert b"id2" in late.taken()
+
+
+def test_a_pick_that_waits_for_a_connection_is_placed_anew_when_the_news_change(bench):
+    """Decided under one cap it would be written under a lower one, or at a build that was called back."""
+    bench.platform.told(memoryview(json.dumps(dict(type="stage", object=STAGE)).encode()))
+    for rpc in ("id1", "id2"):
+        bench.send(bench.client(), rpc)
+        bench.say((face.PICK, rpc, "s-1", 500_000))
+        if rpc == "id1":
+            sent = bench.up()
+    bench.platform.told(memoryview(json.dumps(dict(type="stage", object=STAGE)).encode()))
+    bench.turn()
+    assert bench.outcomes() == [], "the same news again change nothing"
+    back = dict(type="stage", object=STAGE | {"status": "recalling"})
+    bench.platform.told(memoryview(json.dumps(back).encode()))
+    bench.turn()
+    assert bench.outcomes() == [("id2", 0, face.UNSENT)] and sent.connected
+    assert bench.up().taken() == b""
+    kinds = [told[0] for told in bench.module.told]
+    assert "on_reply" in kinds[len(kinds) - 1 - kinds[::-1].index("on_stage") - 1 :], "in the same turn"
