--- /dev/null
+++ b/tests/net/test_crossings.py
@@ -0,0 +1,130 @@
+"""What crosses what, over real sockets: floods, stops of the process, resets, a move to another discovery."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+
+import pytest
+
+from tests.net.loopback import HEAD, PING, Far, Running, answer, ask
+
+
+@pytest.fixture
+def gateway(tmp_path):
+    with Running(tmp_path) as running:
+        yield running
+
+
+def test_a_flood_of_silent_connections_costs_nobody_else_an_answer_nor_the_first_ping(tmp_path):
+    """They come before the gateway has answered anybody, three times as many as it may hold."""
+    with Running(tmp_path, limits={"cores": 1.0, "memory_mb": 64, "sockets": 128}) as gateway:
+        silent = [gateway.client() for _ in range(384)]
+        begun = time.monotonic()
+        client = gateway.client()
+        client.send(PING)
+        assert client.until(b"\r\n") == b"+PONG\r\n" and time.monotonic() < begun + 2.0
+        client.send(ask("id1"))
+        line = gateway.instance.accept()
+        line.send(answer(line.command()[2]))
+        assert client.until(b"id1\r\n") == b"$3\r\nid1\r\n"
+        for wire in silent:
+            wire.close()
+
+
+def test_a_flood_of_commands_on_one_connection_costs_nobody_else_an_answer(gateway):
+    flood, client = gateway.client(), gateway.client()
+    gateway.signal(signal.SIGSTOP)
+    flood.send(PING * 3000 + b"".join(ask(f"f{n}", "none") for n in range(500)))
+    client.send(ask("id1", wait=1500))
+    gateway.signal(signal.SIGCONT)
+    line = gateway.instance.accept()
+    line.send(answer(line.command()[2]))
+    assert client.until(b"id1\r\n") == b"$3\r\nid1\r\n"
+    got = b"".join(flood.until(b"\r\n") for _ in range(3500))
+    assert got == b"+PONG\r\n" * 3000 + b"-ERR no such method\r\n" * 500
+
+
+def test_a_process_that_stood_still_over_a_deadline_gives_one_answer_and_nothing_after(gateway):
+    client = gateway.client()
+    client.send(ask("id1", wait=400) + ask("id2", "book", wait=400))
+    lines = [gateway.instance.accept(), gateway.instance.accept()]
+    asked = {line.command()[2]: line for line in lines}
+    gateway.signal(signal.SIGSTOP)
+    time.sleep(1.0)
+    for rpc, line in asked.items():
+        line.send(answer(rpc))
+    resumed = gateway.signal(signal.SIGCONT)
+    got = client.until(b"\r\n")
+    got += client.until(b"\r\n") if got.startswith(b"$") else b""
+    got += client.until(b"\r\n")
+    assert time.monotonic() < resumed + 0.5
+    assert got.startswith((b"-BUSY", b"$3\r\nid1\r\n")) and (b"-ERR" in got or b"$3\r\nid2" in got)
+    if got.endswith(b"$3\r\n"):
+        client.until(b"\r\n")
+    assert client.quiet(0.5)
+
+
+@pytest.mark.parametrize("when", ["before it is read", "once it is read", "with half an answer"])
+def test_a_non_idempotent_rpc_whose_connection_is_reset_is_sent_once_and_answered_once(gateway, when):
+    client = gateway.client()
+    client.send(ask("id1", "book", wait=700))
+    line = gateway.instance.accept()
+    assert line.sock.recv(1, socket.MSG_PEEK)  # Its last byte has come, read or not.
+    if when != "before it is read":
+        assert line.command()[2] == b"id1"
+    if when == "with half an answer":
+        line.send(answer(b"value")[:9])
+        time.sleep(0.05)
+    line.reset()
+    assert client.until(b"\r\n").startswith(b"-ERR") and client.quiet(0.3)
+    assert gateway.instance.none_comes(0.1)
+
+
+def test_an_idempotent_rpc_whose_connection_is_reset_goes_out_again(gateway):
+    client = gateway.client()
+    client.send(ask("id1"))
+    line = gateway.instance.accept()
+    line.command()
+    line.reset()
+    again = gateway.instance.accept()
+    assert again.command()[2] == b"id1"
+    again.send(answer(b"again"))
+    assert client.until(b"again\r\n") == b"$5\r\nagain\r\n" and client.quiet(0.2)
+
+
+def test_a_move_to_another_discovery_crosses_an_open_rpc_and_the_old_ones_close(gateway):
+    """The old agent closes before the new one has spoken: what the new one then tells holds at once."""
+    client, other = gateway.client(), Far()
+    client.send(ask("id1"))
+    line = gateway.instance.accept()
+    assert line.command()[2] == b"id1"
+    gateway.configure(discovery=other.address)
+    gateway.signal(signal.SIGHUP)
+    gateway.until("reloaded")
+    new = other.accept()
+    gateway.watch.close()
+    new.send(HEAD)
+    new.chunk({"index": 3, "snapshot": False, "endpoints": [gateway.row(status="leaving")]})
+    time.sleep(0.2)
+    client.send(ask("id2", wait=300))
+    line.send(answer(b"first"))
+    # What was out when it began to drain ends as it does.
+    assert client.until(b"first\r\n") == b"$5\r\nfirst\r\n"
+    assert client.until(b"\r\n").startswith(b"-BUSY") and gateway.instance.none_comes(0.1)
+    other.close()
+
+
+def test_a_move_to_a_discovery_that_cannot_be_reached_keeps_the_old_one(gateway):
+    with socket.create_server(("127.0.0.1", 0)) as nobody:
+        address = "{}:{}".format(*nobody.getsockname())
+    gateway.configure(discovery=address)
+    gateway.signal(signal.SIGHUP)
+    gateway.until("reloaded")
+    time.sleep(0.6)  # Two attempts have failed.
+    gateway.watch.chunk({"index": 1, "snapshot": True, "endpoints": [gateway.row(status="leaving")]})
+    client = gateway.client()
+    time.sleep(0.1)
+    client.send(ask("id1", wait=300))
+    assert client.until(b"\r\n").startswith(b"-BUSY") and gateway.instance.none_comes(0.1)
