An address in use ends the process with one line; nulls in a list stand for nothing told

Seen: since the listener comes up from within the watch's reading: an address in use raised there, ended the watch and left a process that serves nobody (seen by reading, forced by the new test); before, it ended with a traceback. An entry whose weight or start is null made the whole list unreadable, as zone and group did. To blame: `process/gateway.py` serve; `Endpoint`. Tried: both tests fail with the changes taken out.

--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -41,8 +41,8 @@
     release: int
     zone: str | None = ""
     group: int | str | None = 0
-    weight: float = 1.0
-    since_ms: float = 0.0
+    weight: float | None = 1.0
+    since_ms: float | None = 0.0
 
 
 class Listing(Struct):
@@ -117,6 +117,7 @@
     def _entry(self, row: Endpoint) -> face.ListEntry:
         """Unix milliseconds become the gateway's microseconds: here alone, and always to the same figure."""
         started = round(row.since_ms * 1000) + self.unix_offset if row.since_ms else LONG_AGO
+        size = 1.0 if row.weight is None else row.weight
         return face.ListEntry(
-            row.name, row.release, row.zone or "", row.group or 0, STATES[row.status], row.weight, started
+            row.name, row.release, row.zone or "", row.group or 0, STATES[row.status], size, started
         )
--- a/linenbridge/process/gateway.py
+++ b/linenbridge/process/gateway.py
@@ -10,6 +10,8 @@
 import sys
 from functools import partial
 
+from twisted.internet.error import CannotListenError
+
 from linenbridge.net.discovery import host_port
 from linenbridge.net.log import Log
 from linenbridge.process import lifetime
@@ -18,7 +20,8 @@
 
 
 def main() -> int:
-    """The process's exit code: 2 where the configuration cannot be used, which one line names."""
+    """The process's exit code: 2 where the configuration cannot be used, 1 where its address cannot be
+    listened on, which one line names each."""
     try:
         at = station(dict(os.environ))
     except ValueError as error:
@@ -29,11 +32,19 @@
     parts = build(at, log, reactor)
     clients, instances, _, discovery, loop = parts
     reactor.serve(loop)
+    serving = True
 
     def serve() -> None:
         """Not before the list has been told: what discovery's agent has counts from the first moment on."""
         if clients.port is None and not clients.closing:
-            clients.listen(reactor, *host_port(at.listen))
+            nonlocal serving
+            try:
+                clients.listen(reactor, *host_port(at.listen))
+            except CannotListenError as error:
+                serving = False
+                log.event("listen.refused", listen=at.listen, error=str(error.socketError))
+                clients.stop(reactor, reactor.stop)
+                return
             log.event("started", gateway=at.name, listen=at.listen)
 
     discovery.once_told(serve)
@@ -46,4 +57,4 @@
         log.counters(open=loop.unanswered, clients=clients.descriptors.open, lines=instances.descriptors.open)
 
     lifetime.run(reactor, log, stop, counters, partial(reload, parts, log, dict(os.environ)))
-    return 0
+    return 0 if serving else 1
--- a/tests/net/test_lists.py
+++ b/tests/net/test_lists.py
@@ -9,6 +9,7 @@
 
 from linenbridge.net import http, resp
 
+from linenbridge.startup import LONG_AGO
 from tests.net.bench import HEAD, Bench
 
 NAME = 's {"}[\\'
@@ -72,13 +73,20 @@
     assert told(bench) == [9_000] and not stream.connected
 
 
-@pytest.mark.parametrize("fields", [dict(zone=None, group=None), dict(group="rack-9"), dict(zone="südost")])
-def test_fields_that_another_customer_leaves_empty_or_words_otherwise_are_read(bench, fields):
-    text = json.dumps(listing(8) | dict(endpoints=[ROW | fields | dict(since_ms=8)])).encode()
+@pytest.mark.parametrize(
+    "fields, read",
+    [
+        (dict(zone=None, group=None, weight=None, since_ms=None), ("", 0, 1.0, LONG_AGO)),
+        (dict(group="rack-9", weight=0), ("a", "rack-9", 0, 9_000)),
+        (dict(zone="südost", weight=2), ("südost", 3, 2.0, 9_000)),
+    ],
+)
+def test_fields_that_another_customer_leaves_empty_or_words_otherwise_are_read(bench, fields, read):
+    text = json.dumps(listing(8) | dict(endpoints=[ROW | dict(since_ms=8) | fields])).encode()
     bench.discovery.told(memoryview(text))
     bench.turn()
     entry = bench.module.told[-1][1][0]
-    assert (entry.zone, entry.cell) == (fields.get("zone", "a") or "", fields.get("group", 3) or 0)
+    assert (entry.zone, entry.cell, entry.size, entry.started) == read
 
 
 @pytest.mark.parametrize("text", [b'{"a": "b\n"}\n', b"{" + b"[\n" * 60, b"x" * 101])
--- a/tests/net/test_starts.py
+++ b/tests/net/test_starts.py
@@ -39,3 +39,12 @@
     with Running(tmp_path, tell=False) as gateway:
         gateway.signal(signal.SIGTERM)
         assert gateway.ended() == 0
+
+
+def test_an_address_that_cannot_be_listened_on_is_named_in_one_line_and_ends_the_process(tmp_path):
+    with Running(tmp_path, tell=False) as gateway, socket.create_server(("127.0.0.1", gateway.port)):
+        gateway.watch.send(HEAD)
+        gateway.watch.chunk(b"\n")
+        assert gateway.ended() == 1
+        (named,) = [event for event in gateway.events if event["event"] == "listen.refused"]
+        assert named["listen"] == f"127.0.0.1:{gateway.port}" and "in use" in named["error"]
