A pick given up is off its connection at once, before the next one can leave

Seen: by reading Twisted's tcp.py and ours: an aborted transport closes in the reactor's next round (callLater 0). Ruled out: cancels, whose outcome the module hears a round later; picks whose time is up, after which none follows. To blame: `Instances._close` with `abortConnection` alone. Change: our sending ends first, at once, which PROTOCOL takes for giving up. Price: one system call a connection closed. Tried: the three cases fail with the change taken out.

--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -20,7 +20,7 @@
 from linenbridge import interface as face
 from linenbridge.net import resp
 from linenbridge.net.log import Log
-from linenbridge.net.loop import Loop, Taken, untouched, write_out
+from linenbridge.net.loop import Loop, Taken, end_sending, untouched, write_out
 from linenbridge.startup import LOADS
 
 # PROTOCOL, Gateways to instances: the error lines and the load report that may come last in them.
@@ -343,10 +343,13 @@
         return True
 
     def _close(self, line: Line) -> None:
-        """Off the idle ones at once; the transport tells of its end a moment later."""
+        """Off the idle ones at once; the transport tells of its end a moment later. Our sending ends now:
+        that gives up what is out on it (PROTOCOL), and where one pick may be out at a time the next one may
+        leave before the transport closes."""
         if line in line.place.idle:
             line.place.idle.remove(line)
         if not line.lost:
+            end_sending(line.transport)
             line.transport.abortConnection()
 
     def closed(self, line: Line) -> None:
--- a/linenbridge/net/loop.py
+++ b/linenbridge/net/loop.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
-from socket import MSG_PEEK
+from socket import MSG_PEEK, SHUT_WR
 from typing import Any, Protocol
 
 from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
@@ -237,6 +238,12 @@
     transport.doRead = look
 
 
+def end_sending(transport: Any) -> None:
+    """At once, without waiting for the reactor's next round."""
+    with suppress(OSError):
+        transport.socket.shutdown(SHUT_WR)
+
+
 def read_out(transport: Any) -> None:
     """What lies unread on a connection that is about to be let go is read first."""
     if transport.connected:
--- a/tests/net/bench.py
+++ b/tests/net/bench.py
@@ -41,7 +41,7 @@
 class Wire(StringTransport):
     """A transport in memory that can be written through, aborted and lost."""
 
-    dataBuffer, _tempDataBuffer, unread = b"", (), b""  # noqa: N815
+    dataBuffer, _tempDataBuffer, unread, ended = b"", (), b"", False  # noqa: N815
 
     def writeSomeData(self, data: bytes) -> int:  # noqa: N802
         self.write(data)
@@ -56,6 +56,9 @@
             raise BlockingIOError
         return self.unread[:size]
 
+    def shutdown(self, how: int) -> None:
+        self.ended = True
+
     def doRead(self) -> None:  # noqa: N802
         unread, self.unread = self.unread, b""
         if unread:
--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -283,3 +283,20 @@
     assert bench.up().taken() == b""
     kinds = [told[0] for told in bench.module.told]
     assert "on_reply" in kinds[len(kinds) - 1 - kinds[::-1].index("on_stage") - 1 :], "in the same turn"
+
+
+@pytest.mark.parametrize("why", ["cancelled", "spoilt", "timed out"])
+def test_a_pick_given_up_is_off_its_connection_before_the_next_one_can_leave(bench, why):
+    """Where one pick may be out at a time: the transport closes in the reactor's next round only."""
+    bench.send(bench.client(), "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    line = bench.up()
+    line.abortConnection = lambda: None
+    match why:
+        case "cancelled":
+            bench.say((face.CANCEL, "id1", 0))
+        case "spoilt":
+            line.protocol.dataReceived(b"*3\r\n$3000000000\r\nvv")
+        case "timed out":
+            bench.turn(0.51)
+    assert line.ended and bench.loop.open["id1"].out == 0
