--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -52,10 +52,10 @@
     return typer.Exit(UNUSABLE)
 
 
-def _station(config: Path):  # noqa: ANN202  (its module is imported where used)
-    from linenbridge.process.station import station
+def _loaded(config: Path):  # noqa: ANN202  (its module is imported where used)
+    from linenbridge.process.configuration import load
 
-    return station({**os.environ, "LB_CONFIG": str(config)})
+    return load({**os.environ, "LB_CONFIG": str(config)})
 
 
 def _run(settings_file: Path, config: Path | None, resp: bool) -> None:
@@ -66,7 +66,7 @@
         if config is None:
             code = _witness(premises)
         else:
-            at = _station(config)
+            at = _loaded(config)
             os.environ["LB_CONFIG"] = str(config)  # A reload reads the same file.
             code = stand(premises, at, resp)
     except (PremisesError, ValueError, OSError) as error:
@@ -119,7 +119,7 @@
     from linenbridge.startup import micros, startup
 
     try:
-        at, premises = _station(config), read(str(settings_file))
+        at, premises = _loaded(config), read(str(settings_file))
         if (told := wicket(premises)) is None:
             raise PremisesError(f"{settings_file}: it has no processor, and so no routes")
         longest = micros(max(profile.give_up for profile in at.settings.profiles))
--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -35,7 +35,7 @@
     """A command that is no RPC; the text goes to the client."""
 
 
-class Owed:
+class PendingResponse:
     """The place of one command in the order of answers."""
 
     def __init__(self, client: Client) -> None:
@@ -64,7 +64,7 @@
     def __init__(self, clients: Clients) -> None:
         self.clients = clients
         self.reader = resp.Reader(commands=True)
-        self.owed: deque[Owed] = deque()
+        self.pending: deque[PendingResponse] = deque()
         self.state = OPEN
         self.asked = self.reading = False
         self.held, self.since = 0, 0
@@ -81,14 +81,14 @@
         self.reading = True  # It must not be let go while commands lie in what was read.
         try:
             for words in self.reader.feed(data):
-                owed = Owed(self)
-                self.owed.append(owed)
+                response = PendingResponse(self)
+                self.pending.append(response)
                 try:
-                    self.clients.command(owed, words)
+                    self.clients.command(response, words)
                     self.asked = True
                 except UnfitError as error:
                     self.clients.log.count("unfit")
-                    owed.answer((f"-ERR {error}\r\n".encode(),))
+                    response.answer((f"-ERR {error}\r\n".encode(),))
         except resp.MalformedError as error:
             self.clients.log.rarely("malformed", "client", error=str(error))
             self.reading = False
@@ -96,7 +96,7 @@
         self.reading = False
         if self.state == OPEN:
             self.clients.holds(self, self.reader.size)
-        if self.state == OPEN and not self.owed:
+        if self.state == OPEN and not self.pending:
             self.clients.waits(self)
         if self.clients.closing and not self.reader.size:
             self.leave()
@@ -106,8 +106,8 @@
         it can't be, or has come too late."""
         if self.state == OPEN:
             self._drain()
-            self.owed.append(owed := Owed(self))
-            owed.answer((f"-ERR {error}\r\n".encode(),))
+            self.pending.append(response := PendingResponse(self))
+            response.answer((f"-ERR {error}\r\n".encode(),))
 
     def leave(self) -> None:
         """Close as soon as nothing is owed."""
@@ -123,9 +123,9 @@
 
     def flush(self) -> None:
         """Answers go out in the order of the commands, each once all before it have gone."""
-        while self.owed and self.owed[0].words is not None:
-            write_out(self.transport, b"".join(self.owed.popleft().words or ()))
-        if self.owed or self.reading or self.state == LINGERING:
+        while self.pending and self.pending[0].words is not None:
+            write_out(self.transport, b"".join(self.pending.popleft().words or ()))
+        if self.pending or self.reading or self.state == LINGERING:
             return
         if self.state == DRAINING:
             # Only our sending ends. A close with something unread would be a reset, and that takes with it
@@ -137,11 +137,11 @@
 
     def connectionLost(self, reason: Any) -> None:
         """The one place where a client's connection and all that was owed on it are given back."""
-        for owed in self.owed:
-            if owed.taken is not None:
-                taken, owed.taken = owed.taken, None
+        for response in self.pending:
+            if response.taken is not None:
+                taken, response.taken = response.taken, None
                 self.clients.loop.gone(taken)
-        self.owed.clear()
+        self.pending.clear()
         self.clients.closed(self)
 
 
@@ -276,14 +276,14 @@
             self._make_room()
         self._last()
 
-    def command(self, owed: Owed, words: Any) -> None:
+    def command(self, response: PendingResponse, words: Any) -> None:
         """One command: an RPC goes to the loop, all else is answered here."""
-        self.busy(owed.client)
+        self.busy(response.client)
         name = bytes(words[0]).upper() if words else b""
         again = COMMANDS.get(name)
         if again is None:
             if name == b"PING":
-                owed.answer((b"+PONG\r\n",))
+                response.answer((b"+PONG\r\n",))
                 return
             raise UnfitError("unknown command")
         if not 4 <= len(words) <= 5:
@@ -309,11 +309,11 @@
         passed = b"".join([field + b"," for field in fields if field[:2] != b"d="])
         head = (b"SVC.QUERY" if again else b"SVC.SUBMIT", key, rpc.encode("latin-1"))
         command = resp.Passed((*head, *map(bytes, words[4:])), passed)
-        owed.taken = Taken(rpc, method.name, self.instances, command, owed.final)
+        response.taken = Taken(rpc, method.name, self.instances, command, response.final)
         # Nobody waits longer than the settings say; a longer time would only keep what is forgotten open.
         ttl = min(int(wait) * 1000, self.longest)
         hint = int(work) if work else None
-        self.loop.take(owed.taken, ttl, hint, tenant.decode("utf-8", "replace"), key.decode("latin-1"))
+        self.loop.take(response.taken, ttl, hint, tenant.decode("utf-8", "replace"), key.decode("latin-1"))
 
     # ---- the stop --------------------------------------------------------------------------------
 
@@ -336,7 +336,7 @@
         self.port.stopListening()
         self.closing, self.paused = True, False
         for client in list(self.open):
-            if not client.owed and not untouched(client.transport):
+            if not client.pending and not untouched(client.transport):
                 read_out(client.transport)
             if client.asked:
                 client.leave()
--- a/linenbridge/net/instances.py
+++ b/linenbridge/net/instances.py
@@ -51,32 +51,32 @@
 class Pick:
     """One pick: waiting for a connection, out on one, or ended."""
 
-    __slots__ = ("ended", "line", "number", "place", "rpc", "sent", "until")
+    __slots__ = ("connection", "ended", "number", "pool", "rpc", "sent", "until")
 
-    def __init__(self, rpc: Taken, number: int, place: Place, sent: int, until: int) -> None:
-        self.rpc, self.number, self.place, self.sent, self.until = rpc, number, place, sent, until
-        self.line: Line | None = None
+    def __init__(self, rpc: Taken, number: int, pool: ConnectionPool, sent: int, until: int) -> None:
+        self.rpc, self.number, self.pool, self.sent, self.until = rpc, number, pool, sent, until
+        self.connection: Connection | None = None
         self.ended = False
 
 
-class Place:
+class ConnectionPool:
     """One instance as listed: where it is, its idle connections, and picks that wait for one."""
 
     def __init__(self, entry: face.ListEntry, address: tuple[str, int]) -> None:
         self.entry, self.address = entry, address
-        self.idle: deque[Line] = deque()
+        self.idle: deque[Connection] = deque()
         self.waiting: deque[Pick] = deque()
         self.coming = 0
         self.timer: Any = None  # when the first of its connections has rested, while a pick waits for that
 
 
-class Line(Protocol):
+class Connection(Protocol):
     """One connection to an instance; it carries one pick at a time, as answers keep their order."""
 
-    def __init__(self, instances: Instances, place: Place) -> None:
-        self.instances, self.place = instances, place
+    def __init__(self, instances: Instances, pool: ConnectionPool) -> None:
+        self.instances, self.pool = instances, pool
         self.reader = resp.Reader(commands=False)
-        self.address, self.process = place.address, (place.entry.started, place.entry.build)
+        self.address, self.process = pool.address, (pool.entry.started, pool.entry.build)
         self.pick: Pick | None = None
         self.idle_since = 0
         self.lost = self.used = False
@@ -96,7 +96,7 @@
                 raise resp.MalformedError("more than the answer")
         except resp.MalformedError as error:
             self.instances.log.rarely(
-                "malformed", "instance", error=str(error), instance=self.place.entry.instance
+                "malformed", "instance", error=str(error), instance=self.pool.entry.instance
             )
             self.instances.spoilt(self)
             return
@@ -118,7 +118,7 @@
         # The far side closes at this idle time at the latest: well before it, none is written to any more.
         self.idle_close = idle_close // 2
         self.descriptors = Descriptors(most, self._spare)
-        self.places: dict[face.Id, Place] = {}
+        self.pools: dict[face.Id, ConnectionPool] = {}
         self.picks: dict[tuple[str, int], Pick] = {}
         self.due: list[tuple[int, int, Pick]] = []
         self.serial = count()
@@ -133,87 +133,87 @@
         named = set()
         for entry, address in listed:
             named.add(entry.instance)
-            place = self.places.get(entry.instance)
-            if place is None:
+            pool = self.pools.get(entry.instance)
+            if pool is None:
                 if entry.state != face.GONE:
-                    self.places[entry.instance] = Place(entry, address)
+                    self.pools[entry.instance] = ConnectionPool(entry, address)
                 continue
-            before = (place.address, place.entry.started, place.entry.build)
-            place.entry, place.address = entry, address
+            before = (pool.address, pool.entry.started, pool.entry.build)
+            pool.entry, pool.address = entry, address
             if entry.state != face.READY or before != (address, entry.started, entry.build):
-                self._leave(place)
-        for name, place in list(self.places.items()):
-            if place.entry.state == face.GONE or (whole and name not in named):
+                self._leave(pool)
+        for name, pool in list(self.pools.items()):
+            if pool.entry.state == face.GONE or (whole and name not in named):
                 # Forgotten here; connections still busy hold it until they close, as nothing is ready there.
-                place.entry = place.entry._replace(state=face.GONE)
-                del self.places[name]
-                self._leave(place)
+                pool.entry = pool.entry._replace(state=face.GONE)
+                del self.pools[name]
+                self._leave(pool)
 
-    def _leave(self, place: Place) -> None:
+    def _leave(self, pool: ConnectionPool) -> None:
         """Idle connections close; picks not yet written have never run and are placed anew."""
-        for line in list(place.idle):
-            self._close(line)
-        for pick in list(place.waiting):
+        for connection in list(pool.idle):
+            self._close(connection)
+        for pick in list(pool.waiting):
             self._ended(pick, face.UNSENT)
 
     # ---- picks -----------------------------------------------------------------------------------
 
     def pick(self, now: int, rpc: Taken, number: int, instance: face.Id, time_out: int) -> None:
         """Write it to an idle connection, or as soon as one is idle or has come up."""
-        place = self.places.get(instance)
-        if place is None:  # It has left the list since the module last heard of it.
+        pool = self.pools.get(instance)
+        if pool is None:  # It has left the list since the module last heard of it.
             self.loop.pick_ended(rpc, number, now, face.UNSENT, {})
             return
-        pick = self.picks[rpc.id, number] = Pick(rpc, number, place, now, now + time_out)
+        pick = self.picks[rpc.id, number] = Pick(rpc, number, pool, now, now + time_out)
         while self.due and self.due[0][2].ended:
             heappop(self.due)
         heappush(self.due, (pick.until, next(self.serial), pick))
         if self.timer is None or pick.until < self.timer_at:
             self._arm(now)
-        if (line := self._rested(place, now)) is not None:
-            self._write(line, pick)
+        if (connection := self._rested(pool, now)) is not None:
+            self._write(connection, pick)
             return
-        place.waiting.append(pick)
-        self._rest(place, now)
-        if place.coming < len(place.waiting):
-            self._connect(place)
+        pool.waiting.append(pick)
+        self._rest(pool, now)
+        if pool.coming < len(pool.waiting):
+            self._connect(pool)
 
-    def _rested(self, place: Place, now: int) -> Line | None:
+    def _rested(self, pool: ConnectionPool, now: int) -> Connection | None:
         """The connection idle longest, once it has rested: what its instance sends late would pass as the
         next pick's answer, and has come by then. None is kept that has any."""
-        while place.idle and place.idle[0].idle_since + REST <= now:
-            if untouched((line := place.idle.popleft()).transport):
-                return line
+        while pool.idle and pool.idle[0].idle_since + REST <= now:
+            if untouched((connection := pool.idle.popleft()).transport):
+                return connection
             self.log.count("line.spent")
-            self._close(line)
+            self._close(connection)
         return None
 
-    def _rest(self, place: Place, now: int) -> None:
+    def _rest(self, pool: ConnectionPool, now: int) -> None:
         """Whoever waits is served by whichever is there first: a connection that comes up, or has rested."""
-        if place.idle and place.waiting and place.timer is None:
-            wait = max(0, place.idle[0].idle_since + REST - now)
-            place.timer = self.reactor.callLater(wait / 1e6, self._has_rested, place)
+        if pool.idle and pool.waiting and pool.timer is None:
+            wait = max(0, pool.idle[0].idle_since + REST - now)
+            pool.timer = self.reactor.callLater(wait / 1e6, self._has_rested, pool)
 
-    def _has_rested(self, place: Place) -> None:
-        place.timer, now = None, self.loop.now()
-        while place.waiting and (line := self._rested(place, now)) is not None:
-            self._write(line, place.waiting.popleft())
-        self._rest(place, now)
+    def _has_rested(self, pool: ConnectionPool) -> None:
+        pool.timer, now = None, self.loop.now()
+        while pool.waiting and (connection := self._rested(pool, now)) is not None:
+            self._write(connection, pool.waiting.popleft())
+        self._rest(pool, now)
 
     def cancel(self, rpc: Taken, number: int) -> None:
         if (pick := self.picks.get((rpc.id, number))) is not None:
-            self._ended(pick, face.CANCELLED if pick.line else face.UNSENT)
+            self._ended(pick, face.CANCELLED if pick.connection else face.UNSENT)
 
     def withdraw(self, rpc: Taken) -> None:
         """Picks of an RPC that is over: none that waits for a connection is written any more."""
         for number in range(rpc.picks):
             pick = self.picks.get((rpc.id, number))
-            if pick is not None and pick.line is None:
+            if pick is not None and pick.connection is None:
                 self._ended(pick, face.UNSENT)
 
-    def _write(self, line: Line, pick: Pick) -> None:
-        line.pick, pick.line, line.used = pick, line, True
-        write_out(line.transport, pick.rpc.load.command(pick.until - self.loop.now()))
+    def _write(self, connection: Connection, pick: Pick) -> None:
+        connection.pick, pick.connection, connection.used = pick, connection, True
+        write_out(connection.transport, pick.rpc.load.command(pick.until - self.loop.now()))
 
     def _arm(self, now: int) -> None:
         """One timer for whichever pick is due first; those that have ended meanwhile are passed over."""
@@ -230,10 +230,10 @@
         now, self.timer = self.loop.now(), None
         while self.due and (self.due[0][0] <= now or self.due[0][2].ended):
             pick = heappop(self.due)[2]
-            self._ended(pick, face.TIMED_OUT if pick.line else face.UNREACHED)
+            self._ended(pick, face.TIMED_OUT if pick.connection else face.UNREACHED)
         self._arm(now)
 
-    def answered(self, line: Line, pick: Pick, message: resp.Value) -> None:
+    def answered(self, connection: Connection, pick: Pick, message: resp.Value) -> None:
         """PROTOCOL's table, to the letter: what only looks like a refusal may have run."""
         match message:
             case [memoryview() as value, None, (None | memoryview()) as report]:
@@ -241,17 +241,17 @@
             case resp.Line(mark=b"-", text=text) if ERROR_LINE.fullmatch(text):
                 word, _, report = text.partition(b" ")
                 if word == b"SYNTAX":
-                    self.log.event("syntax", instance=line.place.entry.instance)
+                    self.log.event("syntax", instance=connection.pool.entry.instance)
                 outcome = face.FULL if word == b"BUSY" else face.ERROR
                 self._ended(pick, outcome, load_report(report.split(b" ")[-1]))
             case _:
                 raise resp.MalformedError("an answer that is neither a value nor an error")
 
-    def spoilt(self, line: Line) -> None:
+    def spoilt(self, connection: Connection) -> None:
         """Of no further use. The pick that was out on it may have run, and its instance has spoken."""
-        if line.pick is not None:
-            self._ended(line.pick, face.SPOILT)
-        self._close(line)
+        if connection.pick is not None:
+            self._ended(connection.pick, face.SPOILT)
+        self._close(connection)
 
     def _ended(
         self, pick: Pick, outcome: str, load: dict[str, float] | None = None, value: tuple = ()
@@ -261,104 +261,104 @@
             return
         pick.ended = True
         del self.picks[pick.rpc.id, pick.number]
-        line = pick.line
-        if line is None:
-            pick.place.waiting.remove(pick)
+        connection = pick.connection
+        if connection is None:
+            pick.pool.waiting.remove(pick)
         else:
-            line.pick = None
+            connection.pick = None
             if outcome not in (face.OK, face.ERROR, face.FULL):
-                self._close(line)
+                self._close(connection)
         self.loop.pick_ended(pick.rpc, pick.number, pick.sent, outcome, load or {}, value)
 
     # ---- connections -----------------------------------------------------------------------------
 
-    def _connect(self, place: Place) -> None:
-        """One more connection to the place; it serves whichever pick waits first when it is up."""
+    def _connect(self, pool: ConnectionPool) -> None:
+        """One more connection to the instance; it serves whichever pick waits first when it is up."""
         if not self.descriptors.take():
             self.log.count("line.no_descriptor")
-            self._ended(place.waiting[-1], face.UNREACHED)
+            self._ended(pool.waiting[-1], face.UNREACHED)
             return
-        place.coming += 1
+        pool.coming += 1
         self.log.count("line.opened")
-        line = Line(self, place)
-        coming = ClientCreator(self.reactor, lambda: line).connectTCP(
-            *place.address, timeout=self.connect_wait
+        connection = Connection(self, pool)
+        coming = ClientCreator(self.reactor, lambda: connection).connectTCP(
+            *pool.address, timeout=self.connect_wait
         )
-        coming.addCallbacks(self._up, lambda failure: self._failed(place))
+        coming.addCallbacks(self._up, lambda failure: self._failed(pool))
         coming.addErrback(lambda failure: self.log.failed("connecting", failure.value))
 
-    def _up(self, line: Line) -> None:
-        line.place.coming -= 1
-        if line.lost:
-            self._too_many_waiting(line.place)
+    def _up(self, connection: Connection) -> None:
+        connection.pool.coming -= 1
+        if connection.lost:
+            self._too_many_waiting(connection.pool)
         else:
-            self.free(line)
+            self.free(connection)
 
-    def _failed(self, place: Place) -> None:
-        place.coming -= 1
+    def _failed(self, pool: ConnectionPool) -> None:
+        pool.coming -= 1
         self.descriptors.give_back()
         self.log.count("line.failed")
-        self._too_many_waiting(place)
+        self._too_many_waiting(pool)
 
-    def _too_many_waiting(self, place: Place) -> None:
+    def _too_many_waiting(self, pool: ConnectionPool) -> None:
         """A pick for which no connection comes up any more was never written."""
-        while len(place.waiting) > place.coming:
-            self._ended(place.waiting[0], face.UNREACHED)
+        while len(pool.waiting) > pool.coming:
+            self._ended(pool.waiting[0], face.UNREACHED)
 
-    def free(self, line: Line) -> None:
+    def free(self, connection: Connection) -> None:
         """A new one to the pick that waits first; else kept, one that has been used to rest. Not where the
         instance has moved or is another process."""
-        place = line.place
-        entry = place.entry
-        same = line.address == place.address and line.process == (entry.started, entry.build)
-        if not same or entry.state != face.READY or not (line.used or untouched(line.transport)):
-            self._close(line)
-            self._too_many_waiting(place)
-        elif place.waiting and not line.used:
-            self._write(line, place.waiting.popleft())
+        pool = connection.pool
+        entry = pool.entry
+        same = connection.address == pool.address and connection.process == (entry.started, entry.build)
+        if not same or entry.state != face.READY or not (connection.used or untouched(connection.transport)):
+            self._close(connection)
+            self._too_many_waiting(pool)
+        elif pool.waiting and not connection.used:
+            self._write(connection, pool.waiting.popleft())
         else:
             now = self.loop.now()
-            line.idle_since = now if line.used else now - REST
-            (place.idle.append if line.used else place.idle.appendleft)(line)
-            self._rest(place, now)
+            connection.idle_since = now if connection.used else now - REST
+            (pool.idle.append if connection.used else pool.idle.appendleft)(connection)
+            self._rest(pool, now)
             if self.sweeping is None:
                 self.sweeping = self.reactor.callLater(self.idle_close / 2e6, self._sweep)
 
     def _sweep(self) -> None:
         """Idle connections that have been so for half the time, or will be before the next sweep, close."""
         self.sweeping, idle_since = None, self.loop.now() - self.idle_close // 2
-        for place in self.places.values():
-            for line in [line for line in place.idle if line.idle_since <= idle_since]:
-                self._close(line)
-        if any(place.idle for place in self.places.values()):
+        for pool in self.pools.values():
+            for connection in [connection for connection in pool.idle if connection.idle_since <= idle_since]:
+                self._close(connection)
+        if any(pool.idle for pool in self.pools.values()):
             self.sweeping = self.reactor.callLater(self.idle_close / 2e6, self._sweep)
 
     def _spare(self) -> bool:
         """Close the connection that has been idle longest, if any is."""
-        idle = [place.idle[0] for place in self.places.values() if place.idle]
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
         if not idle:
             return False
         self.log.count("line.spared")
-        self._close(min(idle, key=lambda line: line.idle_since))
+        self._close(min(idle, key=lambda connection: connection.idle_since))
         return True
 
-    def _close(self, line: Line) -> None:
+    def _close(self, connection: Connection) -> None:
         """Off the idle ones at once; the transport tells of its end a moment later. Our sending ends now:
         that gives up what is out on it (PROTOCOL), and where one pick may be out at a time the next one may
         leave before the transport closes."""
-        if line in line.place.idle:
-            line.place.idle.remove(line)
-        if not line.lost:
-            end_sending(line.transport)
-            line.transport.abortConnection()
+        if connection in connection.pool.idle:
+            connection.pool.idle.remove(connection)
+        if not connection.lost:
+            end_sending(connection.transport)
+            connection.transport.abortConnection()
 
-    def closed(self, line: Line) -> None:
+    def closed(self, connection: Connection) -> None:
         """The one place where a connection is given back; the pick out on it may have run."""
-        line.lost = True
+        connection.lost = True
         self.descriptors.give_back()
-        self._close(line)
-        if line.pick is not None:
-            self._ended(line.pick, face.BROKEN)
+        self._close(connection)
+        if connection.pick is not None:
+            self._ended(connection.pick, face.BROKEN)
 
 
 def load_report(text: bytes | memoryview | None) -> dict[str, float]:
--- a/linenbridge/process/station.py
+++ b/linenbridge/process/configuration.py
@@ -20,14 +20,14 @@
     memory_mb: float
 
 
-class Desk(Struct):
+class PlatformConfiguration(Struct):
     """The platform's part of the configuration."""
 
     address: str
     news: News | None = None
 
 
-class Station(Struct):
+class ProcessConfiguration(Struct):
     """All that one gateway is told when it starts."""
 
     name: str
@@ -35,12 +35,12 @@
     discovery: str
     seed: str
     limits: Limits
-    platform: Desk
+    platform: PlatformConfiguration
     settings: Info
     known: Listing | None = None
 
 
-def station(environ: dict[str, str]) -> Station:
+def load(environ: dict[str, str]) -> ProcessConfiguration:
     """The configuration, with the environment for what it leaves out; ValueError holds one plain line."""
     path = environ.get("LB_CONFIG")
     if not path:
@@ -51,7 +51,7 @@
         if not isinstance(told, dict):
             raise ValueError("it holds no object")
         named = {field: environ[name] for field, name in TOLD.items() if name in environ}
-        found = msgspec.json.decode(msgspec.json.encode({**named, **told}), type=Station)
+        found = msgspec.json.decode(msgspec.json.encode({**named, **told}), type=ProcessConfiguration)
         listed = [row.address for row in found.known.endpoints] if found.known is not None else []
         for address in (found.listen, found.discovery, found.platform.address, *listed):
             host_port(address)
--- a/linenbridge/process/gateway.py
+++ b/linenbridge/process/gateway.py
@@ -16,14 +16,14 @@
 from linenbridge.net.log import Log
 from linenbridge.process import lifetime
 from linenbridge.process.parts import build, reload
-from linenbridge.process.station import station
+from linenbridge.process.configuration import load
 
 
 def main() -> int:
     """The process's exit code: 2 where the configuration cannot be used, 1 where its address cannot be
     listened on, which one line names each."""
     try:
-        at = station(dict(os.environ))
+        at = load(dict(os.environ))
     except ValueError as error:
         print(f"linenbridge: {error}", file=sys.stderr)
         return 2
--- a/linenbridge/process/parts.py
+++ b/linenbridge/process/parts.py
@@ -19,7 +19,7 @@
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
 from linenbridge.net.platform import Platform
-from linenbridge.process.station import Station, station
+from linenbridge.process.configuration import ProcessConfiguration, load
 from linenbridge.startup import micros, startup
 
 # The listener, both streams with their second connections, two votes, and the configuration when read anew.
@@ -40,7 +40,9 @@
     loop: Loop
 
 
-def build(at: Station, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None) -> Parts:
+def build(
+    at: ProcessConfiguration, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None
+) -> Parts:
     """The parts of one gateway; the module has heard the list and the news before anyone can ask. `more` adds
     another front to the same loop."""
     settings, start = at.settings, startup(at.settings)
@@ -85,7 +87,7 @@
     """The configuration read anew: discovery and the platform are taken up where it says. What else it holds
     counts from the next start. One that cannot be used leaves all as it is."""
     try:
-        at = station(environ)
+        at = load(environ)
     except ValueError as error:
         log.event("reload.refused", error=str(error))
         return
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/stand.py
@@ -20,7 +20,7 @@
 from linenbridge.premises.read import Premises, PremisesError
 from linenbridge.process import lifetime
 from linenbridge.process.parts import build, reload
-from linenbridge.process.station import Station
+from linenbridge.process.configuration import ProcessConfiguration
 from linenbridge.processor import keys
 from linenbridge.processor.evidence import Evidence
 from linenbridge.processor.front import Conversation, Front
@@ -51,7 +51,7 @@
 class Stand:
     """The processor's front with its server, on one gateway's loop."""
 
-    def __init__(self, at: Station, wicket: Wicket, log: Log, reactor: Any) -> None:
+    def __init__(self, at: ProcessConfiguration, wicket: Wicket, log: Log, reactor: Any) -> None:
         self.wicket, self.log, self.reactor = wicket, log, reactor
         start = startup(at.settings)
         self.longest = micros(max(profile.give_up for profile in at.settings.profiles))
@@ -149,7 +149,7 @@
     return Member(told, reactor, log, secrets.randbits(60), held)
 
 
-def run(premises: Premises, at: Station, resp: bool) -> int:
+def run(premises: Premises, at: ProcessConfiguration, resp: bool) -> int:
     """One process until its end: the processor, and RESP2 too where `resp` says so."""
     if (told := wicket(premises)) is None:
         raise PremisesError(f"{premises.path}: element 'linenbridge': it has no processor")
--- a/tests/net/test_clients.py
+++ b/tests/net/test_clients.py
@@ -170,7 +170,7 @@
         bench.say((face.PUSH_BACK, f"usual{n}", 0))
         assert usual.taken() == b"-BUSY\r\n"
         bench.turn(QUIET / 1e6 + 0.1)
-        if not wire.protocol.owed:
+        if not wire.protocol.pending:
             assert wire.value().startswith(b"-ERR ") or not wire.connected
         for rpc in [rpc.id for rpc in bench.loop.open.values() if not rpc.ended]:
             bench.say((face.ABORT, rpc))
--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -204,7 +204,7 @@
         bench.say((face.PICK, f"id{n}", "s-1", 500_000))
         if n == 1:
             bench.up().protocol.dataReceived(b"*3\r\n$1\r\n1\r\n$-1\r\n$-1\r\n")
-            used = bench.instances.places["s-1"].idle[0].transport
+            used = bench.instances.pools["s-1"].idle[0].transport
             bench.turn(0.001)
     new = bench.up()  # One of the two connections asked for comes up, the other takes its time.
     assert b"id2" in new.taken() and b"id3" not in used.taken()
@@ -236,7 +236,7 @@
     bench.list(("s-2", 2, "active", 0))
     bench.say((face.PICK, "id1", "s-1", 500_000))
     bench.turn()
-    assert bench.outcomes() == [("id1", 0, face.UNSENT)] and list(bench.instances.places) == ["s-2"]
+    assert bench.outcomes() == [("id1", 0, face.UNSENT)] and list(bench.instances.pools) == ["s-2"]
 
 
 @pytest.mark.parametrize("over", ["client left", "answered", "other copy"])
--- a/tests/net/test_process.py
+++ b/tests/net/test_process.py
@@ -13,7 +13,7 @@
 import pytest
 
 import linenbridge
-from linenbridge.process.station import station
+from linenbridge.process.configuration import load
 
 
 @pytest.mark.parametrize(
@@ -24,7 +24,7 @@
     if text is not None:
         path.write_text(text)
     with pytest.raises(ValueError, match=names) as error:
-        station({"LB_CONFIG": str(path)} if text is not None else {})
+        load({"LB_CONFIG": str(path)} if text is not None else {})
     assert "\n" not in str(error.value)
 
 
--- a/tests/net/test_runs.py
+++ b/tests/net/test_runs.py
@@ -51,7 +51,7 @@
             wire.lose()
         bench.turn(dice.choice((0, 0.01, 0.08)))
         assert set(module.rpcs) == set(bench.loop.open)
-        out = [pick.place.entry.instance for pick in bench.instances.picks.values()]
+        out = [pick.pool.entry.instance for pick in bench.instances.picks.values()]
         assert {name: out.count(name) for name in module.fleet.index} == {
             name: module.fleet.out[i] for name, i in module.fleet.index.items()
         }
@@ -109,11 +109,11 @@
         picks = bench.instances.picks.values()
         assert sum(rpc.out for rpc in bench.loop.open.values()) == len(picks)
         assert all(rpc.out or not rpc.ended for rpc in bench.loop.open.values())
-        assert all((pick.line is None) == (pick in pick.place.waiting) for pick in picks)
+        assert all((pick.connection is None) == (pick in pick.pool.waiting) for pick in picks)
         for wire in clients:
             if wire.connected:
                 answers = wire.value().count(b"\r\n") - wire.value().count(b"$1\r\n")
-                assert answers + len(wire.protocol.owed) == owed.get(wire.protocol, 0)
+                assert answers + len(wire.protocol.pending) == owed.get(wire.protocol, 0)
     for rpc in [rpc.id for rpc in bench.loop.open.values() if not rpc.ended]:
         bench.say((face.ABORT, rpc))
     for wire in clients + lines:
