The stop waits for the other half of a command that has begun to come

Seen: by reading, then in memory: when the listener closes 0.45 s after SIGTERM, a connection with half of a command read counted as idle and was ended; its client had written it whole. Ruled out: connections that had asked nothing yet, which are waited for since. To blame: Clients._close, which asked only whether anything had been asked before. Change: such a connection has until 0.7 s as well. Tried: the test fails with the change taken out.

--- a/linenbridge/net/clients.py
+++ b/linenbridge/net/clients.py
@@ -330,7 +330,8 @@
 
     def _close(self) -> None:
         """Whoever waits to be accepted is; what lies unread is taken. A connection on which nothing has been
-        asked yet has its first command on the way: it is waited for while that can still be answered."""
+        asked yet, or half of something, has a command on the way: it is waited for while that can still be
+        answered."""
         self.port.numberAccepts = self.descriptors.left()
         self.port.doRead()
         self.port.stopListening()
@@ -338,7 +339,7 @@
         for client in list(self.open):
             if not client.pending and not untouched(client.transport):
                 read_out(client.transport)
-            if client.asked:
+            if client.asked and not client.reader.size:
                 client.leave()
         self.reactor.callLater(LAST_COMMANDS - LAST_CONNECTIONS, self._close_all)
         self._last()
--- a/tests/net/test_clients.py
+++ b/tests/net/test_clients.py
@@ -214,6 +214,18 @@
     assert client.taken() == b"+PONG\r\n-ERR aborted\r\n" and not client.connected and stopped
 
 
+def test_the_stop_waits_for_the_other_half_of_a_command(bench):
+    stopped, client = [], bench.client()
+    command = resp.command([b"SVC.QUERY", b"key", b"id1", b"c=look,t=a,d=900"])
+    client.protocol.dataReceived(resp.command([b"PING"]) + command[:-9])
+    bench.clients.stop(bench.reactor, lambda: stopped.append(bench.now()))
+    bench.turn(LAST_CONNECTIONS)
+    client.protocol.dataReceived(command[-9:])
+    bench.turn()
+    bench.say((face.ABORT, "id1"))
+    assert client.taken() == b"+PONG\r\n-ERR aborted\r\n" and not client.connected and stopped
+
+
 def test_the_stop_ends_while_room_was_short(bench):
     """The listener is gone then: whoever would make room for new ones finds none to come."""
     bench = Bench(descriptors=23)
