--- a/tests/net/loopback.py
+++ b/tests/net/loopback.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -48,6 +49,11 @@
         got, _, self.held = self.held.partition(end)
         return got + end
 
+    def reply(self) -> bytes:
+        """One answer of the gateway, whole."""
+        got = self.until(b"\r\n")
+        return got + self.until(b"\r\n") if got.startswith(b"$") else got
+
     def rest(self) -> bytes:
         """All that comes until the far side ends; a reset fails the test."""
         while more := self.sock.recv(1 << 16):
@@ -102,6 +108,21 @@
     def accept(self) -> Wire:
         return Wire(self.listener.accept()[0])
 
+    def answer_all(self, value: bytes) -> None:
+        """From now on every command on every connection gets this value at once."""
+
+        def served(wire: Wire) -> None:
+            with contextlib.suppress(EndError, OSError):
+                while wire.command():
+                    wire.send(answer(value))
+
+        def accepted() -> None:
+            with contextlib.suppress(OSError):
+                while True:
+                    threading.Thread(target=served, args=(self.accept(),), daemon=True).start()
+
+        threading.Thread(target=accepted, daemon=True).start()
+
     def none_comes(self, seconds: float) -> bool:
         self.listener.settimeout(seconds)
         try:
@@ -168,6 +189,16 @@
             assert self.come.wait_for(lambda: any(e["event"] == name for e in self.events), WAIT), self.events
             return next(e for e in self.events if e["event"] == name)
 
+    def counters(self) -> dict:
+        """The counters as they are now."""
+        before = len(self.events)
+        self.signal(signal.SIGUSR1)
+        with self.come:
+            assert self.come.wait_for(
+                lambda: any(e["event"] == "counters" for e in self.events[before:]), WAIT
+            )
+            return next(e for e in self.events[before:] if e["event"] == "counters")
+
     def client(self, buffer: int = 0) -> Wire:
         """A new connection, with so small a buffer for what it has not read yet."""
         self.until("started")
--- a/tests/net/test_crossings.py
+++ b/tests/net/test_crossings.py
@@ -56,13 +56,11 @@
     for rpc, line in asked.items():
         line.send(answer(rpc))
     resumed = gateway.signal(signal.SIGCONT)
-    got = client.until(b"\r\n")
-    got += client.until(b"\r\n") if got.startswith(b"$") else b""
-    got += client.until(b"\r\n")
+    got = [client.reply(), client.reply()]
     assert time.monotonic() < resumed + 0.5
-    assert got.startswith((b"-BUSY", b"$3\r\nid1\r\n")) and (b"-ERR" in got or b"$3\r\nid2" in got)
-    if got.endswith(b"$3\r\n"):
-        client.until(b"\r\n")
+    # Late or given up, as the answer or the time was met first: one each, in order, and no more.
+    assert got[0].startswith(b"-BUSY") or got[0] == b"$3\r\nid1\r\n"
+    assert got[1].startswith(b"-ERR") or got[1] == b"$3\r\nid2\r\n"
     assert client.quiet(0.5)
 
 
@@ -117,6 +115,7 @@
 
 
 def test_a_move_to_a_discovery_that_cannot_be_reached_keeps_the_old_one(gateway):
+    gateway.until("started")
     with socket.create_server(("127.0.0.1", 0)) as nobody:
         address = "{}:{}".format(*nobody.getsockname())
     gateway.configure(discovery=address)
@@ -128,3 +127,30 @@
     time.sleep(0.1)
     client.send(ask("id1", wait=300))
     assert client.until(b"\r\n").startswith(b"-BUSY") and gateway.instance.none_comes(0.1)
+
+
+def test_a_client_that_closes_without_reading_is_noticed_though_nothing_is_read_from_it(gateway):
+    """Its answers fill every buffer on the way, so the gateway reads no more from it either."""
+    gateway.instance.answer_all(b"v" * 60_000)
+    client = gateway.client(2_048)
+    client.send(b"".join(ask(f"id{n}") for n in range(100)))
+    time.sleep(0.8)
+    client.send(ask("id100"))
+    time.sleep(0.2)
+    before = gateway.counters()
+    assert before["counts"]["taken.look"] == 100 and before["counts"]["answered.look.ok"] > 20
+    client.close()
+    time.sleep(0.2)
+    after = gateway.counters()
+    assert after["clients"] == after["open"] == 0 and after["counts"]["taken.look"] == 100
+
+
+def test_a_client_that_ends_its_sending_has_gone(gateway):
+    client = gateway.client()
+    client.send(ask("id1"))
+    line = gateway.instance.accept()
+    assert line.command()[2] == b"id1"
+    client.sock.shutdown(socket.SHUT_WR)
+    assert client.rest() == b""
+    line.send(answer(b"late"))
+    assert gateway.counters()["counts"]["gone.look"] == 1
--- a/tests/net/test_runs.py
+++ b/tests/net/test_runs.py
@@ -10,6 +10,7 @@
 
 from linenbridge import interface as face
 from linenbridge.choice import Choice
+from linenbridge.net import resp
 from linenbridge.net.clients import Client
 from tests.helpers import startup
 
@@ -131,3 +132,14 @@
     assert ends == sum(c for names, c in counts.items() if names[0] == "picked")
     assert not bench.loop.open and not bench.instances.picks
     assert bench.instances.descriptors.open == bench.clients.descriptors.open == 0
+
+
+@pytest.mark.parametrize("left", [0, 1, 11, 12])
+def test_an_rpc_taken_with_hardly_any_time_left_is_answered_at_once_and_sent_to_nobody(left):
+    bench = Bench(80, Choice(startup(), 1, 0))
+    bench.list(("s-1", 1, "active", 0))
+    wire = bench.client()
+    command = [b"SVC.QUERY", b"key", b"id1", b"c=look,d=%d" % left]
+    wire.protocol.dataReceived(resp.command(command))
+    bench.turn()
+    assert wire.taken().startswith(b"-BUSY") and not bench.loop.open and not bench.reactor.tcpClients
