--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -17,7 +17,7 @@
 from rich.table import Table as Grid
 
 from linenbridge.premises.read import Premises, PremisesError, read, schema_text
-from linenbridge.processor.front import AnswerForm
+from linenbridge.processor.answers import AnswerForm
 from linenbridge.processor.premises import routes, wicket
 from linenbridge.routes.table import Request
 
--- a/linenbridge/processor/front.py
+++ b/linenbridge/processor/front.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -16,6 +15,8 @@
 from linenbridge.net.instances import load_report
 from linenbridge.net.loop import Loop, Taken
 from linenbridge.processor import http2, phases, tickets, wording
+from linenbridge.processor.answers import AnswerForm, seconds
+from linenbridge.processor.conversation import Conversation
 from linenbridge.processor.evidence import Evidence
 from linenbridge.processor.store import Store, digest
 from linenbridge.processor.tickets import Entry, Ledger, Ticket
@@ -26,100 +27,6 @@
 LATE = 20_000  # microseconds before the deadline from which an abort is said to be one for time
 
 
-@dataclass(frozen=True, slots=True)
-class Partner:
-    """One proxy, or a group that counts as one. `ours`: its reports may be evidence. `attempts`: how often it
-    sends one request. `fail_open`: it sends a request on when it hears nothing from here."""
-
-    name: str
-    ours: bool = False
-    attempts: int = 1
-    fail_open: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerForm:
-    """How a decision is worded for proxies: names of headers, and statuses of final answers."""
-
-    endpoint: str = "x-gateway-destination-endpoint"
-    metadata: str = "envoy.lb"
-    ticket: str = "x-linenbridge-ticket"
-    left: str = "x-envoy-upstream-rq-timeout-ms"
-    use_within: str = "x-linenbridge-use-within-ms"
-    outcome: str = "x-linenbridge-outcome"
-    again: str = "x-linenbridge-again"
-    load: str = "x-linenbridge-load"
-    request_id: str = "x-request-id"
-    attempt: str = "x-envoy-attempt-count"
-    pushed_back: int = 503
-    aborted: int = 502
-    timed_out: int = 504
-    unrouted: int = 404
-
-
-class Conversation:
-    """One stream: the receiver of its messages, and the RPC that it is about while it is."""
-
-    __slots__ = ("call", "entry", "front", "grpc", "later", "partner", "phases", "ticket")
-
-    def __init__(self, front: Front, partner: Partner, call: http2.Call) -> None:
-        self.front, self.partner, self.call = front, partner, call
-        self.phases = phases.Phases()
-        self.entry: Entry | None = None
-        self.ticket: Ticket | None = None
-        self.grpc = self.later = False
-
-    def message(self, data: memoryview) -> None:
-        front = self.front
-        try:
-            heard = wording.read(data)
-            what = self.phases.step(heard.kind, heard.watched)
-        except wording.MalformedError as error:
-            front.log.rarely("malformed", "message", error=str(error), proxy=self.partner.name)
-            self.fail(http2.INVALID_ARGUMENT, str(error))
-            return
-        except phases.OutOfOrderError as error:
-            front.log.rarely("malformed", "order", error=str(error), proxy=self.partner.name)
-            self.fail(http2.FAILED_PRECONDITION, str(error))
-            return
-        if what == phases.DECIDE:
-            front.asked(self, heard)
-        elif what == phases.REPORT:
-            front.reported(self, heard)
-        elif what == phases.PASS:
-            self.call.send(wording.go_on(heard.kind or ""))
-
-    def fail(self, status: int, text: str) -> None:
-        """The stream ends here; what it was about is settled as if the proxy had left."""
-        self.front.left(self)
-        self.call.finish(status, text)
-
-    def half_closed(self) -> None:
-        """The proxy says no more: an answer still owed is given, else the stream ends well."""
-        if self.phases.stands != phases.ASKED and not self.front.owes(self):
-            self.front.left(self)
-            self.call.finish(http2.OK)
-
-    def gone(self) -> None:
-        self.front.left(self)
-
-    def handed(self, answer: bytes) -> None:
-        """The request goes on, and so does what has waited behind it."""
-        waited = self.phases.handed()
-        self.call.send(answer)
-        for kind in waited:
-            self.call.send(wording.go_on(kind))
-        if self.call.half:
-            self.half_closed()
-
-    def refused(self, answer: bytes) -> None:
-        """The final answer from here; the stream has served."""
-        self.phases.refused()
-        self.entry = None
-        self.call.send(answer)
-        self.call.finish(http2.OK)
-
-
 class Front:
     """All conversations of one gateway; what the loop calls when the module has decided."""
 
@@ -193,7 +100,7 @@
                 conversation.handed(wording.go_on(phases.REQUEST_HEADERS))
                 return
             conversation.refused(
-                self._final(conversation, self.form.unrouted, {}, "no route takes this request")
+                self.form.final(conversation.grpc, self.form.unrouted, {}, "no route takes this request")
             )
             return
         name = headers.get(self.form.request_id, "")
@@ -207,12 +114,12 @@
         elif what == tickets.AGAIN and entry is not None:
             self._again(conversation, entry)
         elif what == tickets.FULL_HOUSE:
-            text = "too many requests are open"
-            conversation.refused(self._pushed_back(conversation, self.ledger.terms.retry_within, text))
+            wait, text = self.ledger.terms.retry_within, "too many requests are open"
+            conversation.refused(self.form.pushed_back_by(conversation.grpc, wait, text))
         else:
             self.log.rarely("refused", what, proxy=partner.name, request=name[:64], attempt=int(count))
             text = "the request has no id" if what == tickets.NO_ID else "an earlier attempt may have run"
-            conversation.refused(self._final(conversation, self.form.aborted, {}, text))
+            conversation.refused(self.form.final(conversation.grpc, self.form.aborted, {}, text))
 
     def _take(self, conversation: Conversation, entry: Entry, asked: Any) -> None:
         conversation.entry = entry
@@ -351,16 +258,17 @@
         pushed = outcome == "pushed_back"
         if conversation is not None:
             if pushed:
-                answer = self._pushed_back(conversation, retry_after, "pushed back: trying again is harmless")
+                text = "pushed back: trying again is harmless"
+                answer = self.form.pushed_back_by(conversation.grpc, retry_after, text)
             else:
                 late = bool(entry.tickets) and now >= entry.tickets[0].report_by - LATE
                 status = self.form.timed_out if late else self.form.aborted
-                answer = self._final(conversation, status, {self.form.outcome: outcome}, "aborted")
+                answer = self.form.final(conversation.grpc, status, {self.form.outcome: outcome}, "aborted")
             conversation.refused(answer)
         if told is not None:
             headers = {self.form.outcome: outcome}
             if pushed and retry_after:
-                headers["retry-after"] = _seconds(retry_after)
+                headers["retry-after"] = seconds(retry_after)
             self._tell(told, headers)
         if (ticket := entry.out()) is not None:
             # Its time is up at the proxy too; what comes now is late and tells nothing.
@@ -397,21 +305,17 @@
                 ticket.given = False
                 self._not_given(conversation, entry)
             return
-        form, now = self.form, self.loop.now()
+        now = self.loop.now()
         host, port = self.addresses.get(ticket.instance, ("", 0))
-        endpoint = f"{host}:{port}"
         conversation.ticket = ticket
         if self.log.detail is not None:
             self.log.detail("handed", request=entry.request[:16], ticket=ticket.number, proxy=entry.proxy,
                             attempt=entry.attempt, instance=ticket.instance, build=ticket.build)  # fmt: skip
-        headers = {
-            form.endpoint: endpoint,
-            form.ticket: f"{entry.request[:16]}.{ticket.number}",
-            form.left: str(max(1, (ticket.report_by - now) // 1000)),
-            form.use_within: str(max(1, (ticket.use_by - now) // 1000)),
-        }
-        metadata = (form.metadata, {form.endpoint: endpoint}) if form.metadata else None
-        conversation.handed(wording.hand_out(headers, metadata, conversation.grpc))
+        named = f"{entry.request[:16]}.{ticket.number}"
+        answer = self.form.hand_out(
+            conversation.grpc, f"{host}:{port}", named, ticket.report_by - now, ticket.use_by - now
+        )
+        conversation.handed(answer)
 
     # ---- ends ------------------------------------------------------------------------------------
 
@@ -449,7 +353,7 @@
             return
         self.ledger.over(now, entry, answered)
         if (conversation := self.deciding.pop(entry.id, None)) is not None:
-            conversation.refused(self._final(conversation, self.form.aborted, {}, "aborted"))
+            conversation.refused(self.form.final(conversation.grpc, self.form.aborted, {}, "aborted"))
         if (told := self.telling.pop(entry.id, None)) is not None:
             self._tell(told, {})
         if not self.taken[entry.id].out:
@@ -489,22 +393,3 @@
         conversation.call.send(wording.go_on(phases.RESPONSE_HEADERS, headers))
         if conversation.call.half:
             conversation.half_closed()
-
-    def _pushed_back(self, conversation: Conversation, retry_after: int, text: str) -> bytes:
-        headers = {self.form.outcome: "pushed_back"}
-        if retry_after:
-            headers["retry-after"] = _seconds(retry_after)
-            headers["x-linenbridge-retry-after-ms"] = str(-(-retry_after // 1000))
-        return self._final(conversation, self.form.pushed_back, headers, text)
-
-    def _final(self, conversation: Conversation, code: int, headers: dict[str, str], text: str) -> bytes:
-        grpc = None
-        if conversation.grpc:
-            grpc = http2.UNAVAILABLE if code == self.form.pushed_back else http2.INTERNAL
-            grpc = http2.NOT_FOUND if code == self.form.unrouted else grpc
-        return wording.immediate(code, headers, text, grpc)
-
-
-def _seconds(micros: int) -> str:
-    """`retry-after` knows whole seconds alone: never sooner than was said."""
-    return str(max(1, -(-micros // 1_000_000)))
--- a/linenbridge/processor/premises.py
+++ b/linenbridge/processor/premises.py
@@ -15,7 +15,8 @@
 from linenbridge.interface import Method
 from linenbridge.net.discovery import host_port
 from linenbridge.premises.read import FILE_MOST, SPACE, Premises, PremisesError, duration, said, size
-from linenbridge.processor.front import AnswerForm, Partner
+from linenbridge.processor.answers import AnswerForm
+from linenbridge.processor.conversation import Partner
 from linenbridge.processor.keys import KeyFiles
 from linenbridge.processor.limits import Bounds
 from linenbridge.processor.tickets import TicketTerms
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/stand.py
@@ -23,7 +23,8 @@
 from linenbridge.process.configuration import ProcessConfiguration
 from linenbridge.processor import keys
 from linenbridge.processor.evidence import Evidence
-from linenbridge.processor.front import Conversation, Front
+from linenbridge.processor.conversation import Conversation
+from linenbridge.processor.front import Front
 from linenbridge.processor.health import Health
 from linenbridge.processor.http2 import PERMISSION_DENIED, Call, Server
 from linenbridge.processor.premises import Directory, Wicket, routes, wicket
--- a/tests/peer_script.py
+++ b/tests/peer_script.py
@@ -18,7 +18,9 @@
 from linenbridge.processor import wire_pb2 as wire
 from linenbridge.processor.evidence import Evidence
 from linenbridge.processor.frames import GoAways
-from linenbridge.processor.front import AnswerForm, Conversation, Front, Partner
+from linenbridge.processor.answers import AnswerForm
+from linenbridge.processor.conversation import Conversation, Partner
+from linenbridge.processor.front import Front
 from linenbridge.processor.health import Health
 from linenbridge.processor.http2 import Server
 from linenbridge.processor.limits import Bounds
