Renamed: premises is configuration, house is logging, stand is server

Need: the field's words (docs/glossary.md). No behaviour changes; the settings' namespace stays as installations have it.

--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -16,9 +16,9 @@
 from rich.console import Console
 from rich.table import Table as Grid
 
-from linenbridge.premises.read import Premises, PremisesError, read, schema_text
+from linenbridge.configuration.read import Configuration, ConfigurationError, read, schema_text
 from linenbridge.processor.answers import AnswerForm
-from linenbridge.processor.premises import routes, wicket
+from linenbridge.processor.configuration import routes, wicket
 from linenbridge.routes.table import Request
 
 FOUND, UNUSABLE = 1, 2
@@ -59,30 +59,30 @@
 
 
 def _run(settings_file: Path, config: Path | None, resp: bool) -> None:
-    from linenbridge.processor.stand import run as stand
+    from linenbridge.processor.server import run as stand
 
     try:
-        premises = read(str(settings_file))
+        configuration = read(str(settings_file))
         if config is None:
-            code = _witness(premises)
+            code = _witness(configuration)
         else:
             at = _loaded(config)
             os.environ["LB_CONFIG"] = str(config)  # A reload reads the same file.
-            code = stand(premises, at, resp)
-    except (PremisesError, ValueError, OSError) as error:
+            code = stand(configuration, at, resp)
+    except (ConfigurationError, ValueError, OSError) as error:
         raise _refuse(error) from None
     raise typer.Exit(code)
 
 
-def _witness(premises: Premises) -> int:
+def _witness(configuration: Configuration) -> int:
     """Settings with a fleet alone need no configuration of the platform: a member that serves no RPCs."""
     from linenbridge.fleet.hosting.witness import run as witness
-    from linenbridge.fleet.premises import fleet
+    from linenbridge.fleet.configuration import fleet
 
-    told = fleet(premises)
-    if told is None or premises.part("processor") is not None:
-        raise PremisesError(f"{premises.path}: only a fleet alone runs without --config")
-    return witness(premises, told)
+    told = fleet(configuration)
+    if told is None or configuration.part("processor") is not None:
+        raise ConfigurationError(f"{configuration.path}: only a fleet alone runs without --config")
+    return witness(configuration, told)
 
 
 @app.command()
@@ -119,12 +119,12 @@
     from linenbridge.startup import micros, startup
 
     try:
-        at, premises = _loaded(config), read(str(settings_file))
-        if (told := wicket(premises)) is None:
-            raise PremisesError(f"{settings_file}: it has no processor, and so no routes")
+        at, configuration = _loaded(config), read(str(settings_file))
+        if (told := wicket(configuration)) is None:
+            raise ConfigurationError(f"{settings_file}: it has no processor, and so no routes")
         longest = micros(max(profile.give_up for profile in at.settings.profiles))
         return routes(told, list(startup(at.settings).methods), longest)
-    except (PremisesError, ValueError, OSError) as error:
+    except (ConfigurationError, ValueError, OSError) as error:
         raise _refuse(error) from None
 
 
@@ -189,7 +189,7 @@
     """Check the file by its schema, and its routes where a configuration is given."""
     try:
         told = wicket(read(str(settings_file)))
-    except PremisesError as error:
+    except ConfigurationError as error:
         raise _refuse(error) from None
     if config is not None and told is not None:
         _table(settings_file, config)
@@ -201,7 +201,7 @@
     """Show what the file comes to, defaults and all."""
     try:
         rows = shown(read(str(settings_file)))
-    except PremisesError as error:
+    except ConfigurationError as error:
         raise _refuse(error) from None
     if as_json:
         print(json.dumps(rows))
@@ -212,10 +212,10 @@
     Console().print(grid)
 
 
-def shown(premises: Premises) -> dict[str, object]:
+def shown(configuration: Configuration) -> dict[str, object]:
     """The settings in force, by dotted names; times in microseconds."""
-    rows: dict[str, object] = {"log.level": premises.log_level}
-    if (told := wicket(premises)) is None:
+    rows: dict[str, object] = {"log.level": configuration.log_level}
+    if (told := wicket(configuration)) is None:
         return rows
     rows |= {
         "listen": f"{told.host}:{told.port}",
--- a/linenbridge/premises/read.py
+++ b/linenbridge/configuration/read.py
@@ -21,12 +21,12 @@
 SIZES = {"K": 1 << 10, "M": 1 << 20}
 
 
-class PremisesError(ValueError):
+class ConfigurationError(ValueError):
     """What is wrong with the settings: one line for each place, `file:line: element: what`."""
 
 
 @dataclass(frozen=True, slots=True)
-class Premises:
+class Configuration:
     """The settings file as a whole: what passed the schema. `path` stands in errors, `folder` is its own."""
 
     path: str
@@ -55,10 +55,10 @@
         nth = alike.index(element)
         return f"{self.path}:{line}:{starts[nth] + 1 if nth < len(starts) else 1}"
 
-    def refused(self, element: etree._Element, what: str) -> PremisesError:
+    def refused(self, element: etree._Element, what: str) -> ConfigurationError:
         """What is wrong with an element that the schema let pass."""
         name = etree.QName(element).localname
-        return PremisesError(f"{self.path}:{element.sourceline}: element '{name}': {what}")
+        return ConfigurationError(f"{self.path}:{element.sourceline}: element '{name}': {what}")
 
 
 @cache
@@ -80,19 +80,19 @@
     return int(text.rstrip("KM")) * SIZES.get(text[-1], 1)
 
 
-def read(path: str) -> Premises:
-    """The file at `path`; PremisesError names every place that is wrong."""
+def read(path: str) -> Configuration:
+    """The file at `path`; ConfigurationError names every place that is wrong."""
     try:
         with open(path, "rb") as file:
             data = file.read(FILE_MOST + 1)
     except OSError as error:
-        raise PremisesError(f"{path}: {error.strerror}") from None
+        raise ConfigurationError(f"{path}: {error.strerror}") from None
     return parse(data, path)
 
 
-def parse(data: bytes, path: str) -> Premises:
+def parse(data: bytes, path: str) -> Configuration:
     if len(data) > FILE_MOST:
-        raise PremisesError(f"{path}: the file is longer than {FILE_MOST} bytes")
+        raise ConfigurationError(f"{path}: the file is longer than {FILE_MOST} bytes")
     parser = etree.XMLParser(
         resolve_entities=False, load_dtd=False, no_network=True, dtd_validation=False, huge_tree=False,
         remove_comments=True, remove_pis=False,
@@ -101,31 +101,32 @@
         root = etree.fromstring(data, parser)
     except etree.XMLSyntaxError as error:
         line, column = error.position
-        raise PremisesError(f"{path}:{line}:{column}: {error.msg}") from None
+        raise ConfigurationError(f"{path}:{line}:{column}: {error.msg}") from None
     _closed(root, path)
     document = root.getroottree()
     if not schema().validate(document):
         lines = [f"{path}:{error.line}: {_plain(error.message)}" for error in schema().error_log]
-        raise PremisesError("\n".join(lines))
+        raise ConfigurationError("\n".join(lines))
     log = root.find(f"{SPACE}log")
     level = log.get("level", "info") if log is not None else "info"
-    return Premises(path, root, level, tuple(data.splitlines()))
+    return Configuration(path, root, level, tuple(data.splitlines()))
 
 
 def _closed(root: etree._Element, path: str) -> None:
     """Nothing that reaches outside the file, or makes more of it than it is."""
     if root.getroottree().docinfo.doctype:
-        raise PremisesError(f"{path}:1: document types and entities are not taken")
+        raise ConfigurationError(f"{path}:1: document types and entities are not taken")
     for node in root.iter():
         if isinstance(node, etree._Entity):
-            raise PremisesError(f"{path}:{node.sourceline}: entities are not taken")
+            raise ConfigurationError(f"{path}:{node.sourceline}: entities are not taken")
         if isinstance(node, etree._ProcessingInstruction):
-            raise PremisesError(f"{path}:{node.sourceline}: processing instructions are not taken")
+            raise ConfigurationError(f"{path}:{node.sourceline}: processing instructions are not taken")
         if isinstance(node.tag, str) and node.tag.startswith("{http://www.w3.org/2001/XInclude}"):
-            raise PremisesError(f"{path}:{node.sourceline}: include: includes are not taken")
+            raise ConfigurationError(f"{path}:{node.sourceline}: include: includes are not taken")
         for name in node.attrib:
             if name.startswith("{http://www.w3.org/2001/XMLSchema-instance}"):
-                raise PremisesError(f"{path}:{node.sourceline}: references to other schemas are not taken")
+                where = f"{path}:{node.sourceline}"
+                raise ConfigurationError(f"{where}: references to other schemas are not taken")
 
 
 def _plain(message: str) -> str:
--- a/linenbridge/drill/standin_empty.py
+++ b/linenbridge/drill/standin_empty.py
@@ -15,7 +15,7 @@
 from linenbridge.net.reactor import Reactor
 from linenbridge.processor import http2, phases, wording
 from linenbridge.processor.limits import Bounds
-from linenbridge.processor.stand import PROCESS
+from linenbridge.processor.server import PROCESS
 
 BOUNDS = Bounds(1000, 65536, 16384, 1 << 20, 2_000_000, 5_000_000, 600_000_000)
 
--- a/linenbridge/fleet/premises.py
+++ b/linenbridge/fleet/configuration.py
@@ -11,12 +11,12 @@
 from lxml import etree
 
 from linenbridge.fleet.errors import PlaceError
-from linenbridge.fleet.freezes.premises import windows
+from linenbridge.fleet.freezes.configuration import windows
 from linenbridge.fleet.freezes.windows import Window
 from linenbridge.fleet.leases.quorum import Council
 from linenbridge.fleet.leases.terms import Pace
 from linenbridge.net.discovery import host_port
-from linenbridge.premises.read import SPACE, Premises, PremisesError, attributes, duration
+from linenbridge.configuration.read import SPACE, Configuration, ConfigurationError, attributes, duration
 
 SEATS = (3, 7)
 RESTARTS = "restarts"  # the task whose places are the turns of planned restarts
@@ -59,15 +59,15 @@
         return self.member in self.council.everyone()
 
 
-def fleet(premises: Premises) -> FleetTold | None:
-    """The element, or None where the file has none; PremisesError names every wrong place, a line each."""
-    element = premises.part("fleet")
+def fleet(configuration: Configuration) -> FleetTold | None:
+    """The element, or None where there is none; ConfigurationError names every wrong place, a line each."""
+    element = configuration.part("fleet")
     if element is None:
         return None
     wrong = list[FleetSettingsError]()
 
     def refuse(at: etree._Element, what: str, do: str) -> None:
-        wrong.append(FleetSettingsError(what, premises.place(at), do))
+        wrong.append(FleetSettingsError(what, configuration.place(at), do))
 
     said = attributes(element, "fleet")
     lease, longest, beat = (duration(said[name]) for name in ("lease", "longest", "beat"))
@@ -99,13 +99,13 @@
         within = duration(words["within"])
         errands.append(Errand(RESTARTS, int(words["at-once"]), None, 0))
     if wrong:
-        raise PremisesError("\n".join(str(error) for error in wrong))
+        raise ConfigurationError("\n".join(str(error) for error in wrong))
     first_term = int(attributes(element.find(f"{SPACE}council"), "council")["first-term"])
     return FleetTold(
         said["member"], host_port(said["listen"].replace("[", "").replace("]", "")),
-        premises.beside(said["store"]),
+        configuration.beside(said["store"]),
         said["store-never-goes-back"] in ("true", "1"), Pace(lease, longest, apart, beat), members, council,
-        first_term, tuple(errands), within, windows(premises.beside(said["freezes"])),
+        first_term, tuple(errands), within, windows(configuration.beside(said["freezes"])),
     )  # fmt: skip
 
 
--- a/linenbridge/fleet/freezes/premises.py
+++ b/linenbridge/fleet/freezes/configuration.py
@@ -13,7 +13,9 @@
 
 from linenbridge.fleet.errors import PlaceError
 from linenbridge.fleet.freezes.windows import Window
-from linenbridge.premises.read import SPACE, Premises, PremisesError, attributes, duration, read
+from linenbridge.configuration.read import (
+    SPACE, Configuration, ConfigurationError, attributes, duration, read,
+)  # fmt: skip
 
 
 class FreezesFileError(PlaceError):
@@ -23,14 +25,14 @@
 
 
 def windows(path: str) -> tuple[Window, ...]:
-    """The windows of the file; PremisesError names each wrong place, a line each. "" is no file."""
+    """The windows of the file; ConfigurationError names each wrong place, a line each. "" is no file."""
     return _windows(read(path)) if path else ()
 
 
-def _windows(file: Premises) -> tuple[Window, ...]:
+def _windows(file: Configuration) -> tuple[Window, ...]:
     wrong, found = list[FreezesFileError](), dict[str, Window]()
     if file.root.tag != f"{SPACE}freezes":
-        raise PremisesError(f"{file.place(file.root)}: it holds no freezes; begin it with <freezes>")
+        raise ConfigurationError(f"{file.place(file.root)}: it holds no freezes; begin it with <freezes>")
     for element in file.root.iterchildren(f"{SPACE}window"):
         try:
             window = _window(attributes(element, "window"))
@@ -44,11 +46,11 @@
             )
         found[window.name] = window
     if wrong:
-        raise PremisesError("\n".join(str(error) for error in wrong))
+        raise ConfigurationError("\n".join(str(error) for error in wrong))
     return tuple(found.values())
 
 
-def _said(error: Exception, file: Premises, element: etree._Element) -> tuple[str, str, str]:
+def _said(error: Exception, file: Configuration, element: etree._Element) -> tuple[str, str, str]:
     what, _, do = str(error.args[0] if error.args else error).partition("; ")
     return what, file.place(element), do or "mend it"
 
--- a/linenbridge/fleet/hosting/errands.py
+++ b/linenbridge/fleet/hosting/errands.py
@@ -17,7 +17,7 @@
 from twisted.web.iweb import IBodyProducer
 from zope.interface import implementer
 
-from linenbridge.fleet.premises import Errand
+from linenbridge.fleet.configuration import Errand
 from linenbridge.net.log import Log
 
 ANSWER_WAIT, ANSWER_MOST = 5.0, 65_536  # seconds and bytes of one answer
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -21,7 +21,7 @@
 from linenbridge.fleet.leases.asker import Asker
 from linenbridge.fleet.leases.seat import Seat
 from linenbridge.fleet.leases.words import Recall, Round, Said, Table
-from linenbridge.fleet.premises import RESTARTS, FleetTold
+from linenbridge.fleet.configuration import RESTARTS, FleetTold
 from linenbridge.fleet.store.promises import promises
 from linenbridge.net.log import Log
 
--- a/linenbridge/fleet/hosting/witness.py
+++ b/linenbridge/fleet/hosting/witness.py
@@ -9,15 +9,15 @@
 import sys
 
 from linenbridge.fleet.hosting.member import Member
-from linenbridge.fleet.premises import FleetTold, fleet
-from linenbridge.house.log import structured
-from linenbridge.premises.read import Premises, PremisesError, read
+from linenbridge.fleet.configuration import FleetTold, fleet
+from linenbridge.logging.log import structured
+from linenbridge.configuration.read import Configuration, ConfigurationError, read
 from linenbridge.process import lifetime
 
 
-def run(premises: Premises, told: FleetTold) -> int:
+def run(configuration: Configuration, told: FleetTold) -> int:
     """One process until its end; the exit code."""
-    log = structured(sys.stderr.buffer, premises.log_level)
+    log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
     member = Member(told, reactor, log, secrets.randbits(60))
     log.event("started", member=told.member)
@@ -30,7 +30,7 @@
         log.counters(**member.facts())
 
     def anew() -> None:
-        again(premises.path, member, log)
+        again(configuration.path, member, log)
 
     lifetime.run(reactor, log, stop, counters, anew)
     return 0
@@ -41,8 +41,8 @@
     try:
         told = fleet(read(path))
         if told is None or told.member != member.told.member:
-            raise PremisesError(f"{path}: element 'fleet': it names another member, or is gone")
-    except PremisesError as error:
+            raise ConfigurationError(f"{path}: element 'fleet': it names another member, or is gone")
+    except ConfigurationError as error:
         log.event("fleet.refused", error=str(error))
         return
     member.take_up(told)
--- /dev/null
+++ b/linenbridge/logging/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logging, for all that is served beside the platform's gateway."""
--- a/linenbridge/processor/premises.py
+++ b/linenbridge/processor/configuration.py
@@ -14,7 +14,9 @@
 
 from linenbridge.interface import Method
 from linenbridge.net.discovery import host_port
-from linenbridge.premises.read import FILE_MOST, SPACE, Premises, PremisesError, duration, said, size
+from linenbridge.configuration.read import (
+    FILE_MOST, SPACE, Configuration, ConfigurationError, duration, said, size,
+)  # fmt: skip
 from linenbridge.processor.answers import AnswerForm
 from linenbridge.processor.conversation import Partner
 from linenbridge.processor.keys import KeyFiles
@@ -57,23 +59,23 @@
     network: ipaddress.IPv4Network | ipaddress.IPv6Network | None
 
 
-def wicket(premises: Premises) -> Wicket | None:
+def wicket(configuration: Configuration) -> Wicket | None:
     """The processor's element of the settings; None where the file has none."""
-    element = premises.part("processor")
+    element = configuration.part("processor")
     if element is None:
         return None
-    path = premises.path
+    path = configuration.path
     host, port = host_port(element.get("listen").replace("[", "").replace("]", ""))
     bounds, terms = said(element, "bounds"), said(element, "tickets")
     use_within = duration(terms["use-within"])
     if use_within > USE_WITHIN_MOST:
         most = USE_WITHIN_MOST // 1000
-        raise premises.refused(element.find(f"{SPACE}tickets"), f"use-within is {most}ms at most")
-    partners = tuple(_partner(premises, found) for found in element.iter(f"{SPACE}partner"))
+        raise configuration.refused(element.find(f"{SPACE}tickets"), f"use-within is {most}ms at most")
+    partners = tuple(_partner(configuration, found) for found in element.iter(f"{SPACE}partner"))
     names = [known.partner.name for known in partners]
     for found in element.iter(f"{SPACE}partner"):
         if names.count(found.get("name")) > 1:
-            raise premises.refused(found, f"two are named {found.get('name')}")
+            raise configuration.refused(found, f"two are named {found.get('name')}")
     tls, store, routes = (
         element.find(f"{SPACE}tls"),
         element.find(f"{SPACE}store"),
@@ -82,21 +84,21 @@
     file, text, line = path, routes.text or "", routes.sourceline
     if (named := routes.get("file")) is not None:
         if text.strip():
-            raise premises.refused(routes, "a file or the routes themselves, not both")
-        file, line = premises.beside(named), 1
+            raise configuration.refused(routes, "a file or the routes themselves, not both")
+        file, line = configuration.beside(named), 1
         try:
             with open(file, encoding="utf-8") as opened:
                 text = opened.read(FILE_MOST)
         except (OSError, UnicodeDecodeError) as error:
-            raise premises.refused(routes, f"{file}: {error}") from None
+            raise configuration.refused(routes, f"{file}: {error}") from None
     kept = None
     if store is not None:
-        kept = premises.beside(store.get("file")), store.get("outlives", "process")
+        kept = configuration.beside(store.get("file")), store.get("outlives", "process")
     return Wicket(
         host=host,
         port=port,
         passes_unrouted=element.get("unrouted") == "pass",
-        tls=None if tls is None else KeyFiles(*(premises.beside(tls.get(n, "")) for n in TLS_FILES)),
+        tls=None if tls is None else KeyFiles(*(configuration.beside(tls.get(n, "")) for n in TLS_FILES)),
         bounds=Bounds(
             int(bounds["streams"]), size(bounds["message"]), size(bounds["headers"]), size(bounds["backlog"]),
             duration(bounds["first-word"]), duration(bounds["unread"]), duration(bounds["idle"]),
@@ -129,8 +131,8 @@
     return replace(AnswerForm(), **{**said, **codes})
 
 
-def _partner(premises: Premises, element: etree._Element) -> Known:
-    refuse = partial(premises.refused, element)
+def _partner(configuration: Configuration, element: etree._Element) -> Known:
+    refuse = partial(configuration.refused, element)
     identity, address, network = element.get("identity", ""), element.get("address", ""), None
     if bool(identity) == bool(address):
         raise refuse("it is known by an identity or by an address, one of the two")
@@ -154,13 +156,13 @@
 
 
 def routes(wicket: Wicket, methods: list[Method], longest: int) -> Table:
-    """The routing table; PremisesError gives each fault's place in the file that it stands in."""
+    """The routing table; ConfigurationError gives each fault's place in the file that it stands in."""
     try:
         return table(wicket.routes, methods, longest)
     except FaultsError as faults:
-        raise PremisesError("\n".join(_placed(wicket, error) for error in faults.wrong)) from None
+        raise ConfigurationError("\n".join(_placed(wicket, error) for error in faults.wrong)) from None
     except RouteError as error:
-        raise PremisesError(_placed(wicket, error)) from None
+        raise ConfigurationError(_placed(wicket, error)) from None
 
 
 def _placed(wicket: Wicket, error: RouteError) -> str:
--- a/linenbridge/processor/stand.py
+++ b/linenbridge/processor/server.py
@@ -13,11 +13,11 @@
 from functools import partial
 from typing import Any
 
-from linenbridge.house.log import structured
+from linenbridge.logging.log import structured
 from linenbridge.net.discovery import host_port
 from linenbridge.net.log import Log
 from linenbridge.net.loop import Loop
-from linenbridge.premises.read import Premises, PremisesError
+from linenbridge.configuration.read import Configuration, ConfigurationError
 from linenbridge.process import lifetime
 from linenbridge.process.parts import build, reload
 from linenbridge.process.configuration import ProcessConfiguration
@@ -27,7 +27,7 @@
 from linenbridge.processor.front import Front
 from linenbridge.processor.health import Health
 from linenbridge.processor.http2 import PERMISSION_DENIED, Call, Server
-from linenbridge.processor.premises import Directory, Wicket, routes, wicket
+from linenbridge.processor.configuration import Directory, Wicket, routes, wicket
 from linenbridge.processor.store import Store
 from linenbridge.processor.tickets import Ledger
 from linenbridge.processor.verdicts import Verdicts
@@ -49,7 +49,7 @@
     def gone(self) -> None: ...
 
 
-class Stand:
+class ProcessorServer:
     """The processor's front with its server, on one gateway's loop."""
 
     def __init__(self, at: ProcessConfiguration, wicket: Wicket, log: Log, reactor: Any) -> None:
@@ -93,7 +93,7 @@
     def listen(self) -> None:
         server, wicket = self.server, self.wicket
         if server is None:
-            raise RuntimeError("the stand has not been opened")
+            raise RuntimeError("the server has not been opened")
         if self.keys is not None:
             server.port = self.reactor.listenSSL(wicket.port, server, self.keys, interface=wicket.host)
         else:
@@ -133,14 +133,14 @@
         }
 
 
-def _member(premises: Premises, log: Log, reactor: Any, loop: Loop):  # noqa: ANN202  (imported where it is used)
+def _member(configuration: Configuration, log: Log, reactor: Any, loop: Loop):  # noqa: ANN202  (imported where it is used)
     """This process as a member of the fleet, where the settings have one."""
-    if premises.part("fleet") is None:
+    if configuration.part("fleet") is None:
         return None
     from linenbridge.fleet.hosting.member import Member
-    from linenbridge.fleet.premises import fleet
+    from linenbridge.fleet.configuration import fleet
 
-    told = fleet(premises)
+    told = fleet(configuration)
     if told is None:
         return None
 
@@ -150,17 +150,17 @@
     return Member(told, reactor, log, secrets.randbits(60), held)
 
 
-def run(premises: Premises, at: ProcessConfiguration, resp: bool) -> int:
+def run(configuration: Configuration, at: ProcessConfiguration, resp: bool) -> int:
     """One process until its end: the processor, and RESP2 too where `resp` says so."""
-    if (told := wicket(premises)) is None:
-        raise PremisesError(f"{premises.path}: element 'linenbridge': it has no processor")
-    log = structured(sys.stderr.buffer, premises.log_level)
+    if (told := wicket(configuration)) is None:
+        raise ConfigurationError(f"{configuration.path}: element 'linenbridge': it has no processor")
+    log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
-    stand = Stand(at, told, log, reactor)
-    parts = build(at, log, reactor, stand.open)
-    member = _member(premises, log, reactor, parts.loop)
+    server = ProcessorServer(at, told, log, reactor)
+    parts = build(at, log, reactor, server.open)
+    member = _member(configuration, log, reactor, parts.loop)
     reactor.serve(parts.loop)
-    stand.listen()
+    server.listen()
     if resp:
         parts.clients.listen(reactor, *host_port(at.listen))
     log.event("started", gateway=at.name, listen=at.listen if resp else "")
@@ -179,24 +179,24 @@
             member.leave(leave)
 
     def leave() -> None:
-        stand.leave(partial(gone, "processor"))
+        server.leave(partial(gone, "processor"))
         if resp:
             parts.clients.stop(reactor, partial(gone, "resp"))
 
     def counters() -> None:
         log.counters(
             open=parts.loop.unanswered, clients=parts.clients.descriptors.open,
-            lines=parts.instances.descriptors.open, **stand.open_now(),
+            lines=parts.instances.descriptors.open, **server.open_now(),
             **({} if member is None else member.facts()),
         )  # fmt: skip
 
     def anew() -> None:
         reload(parts, log, dict(os.environ))
-        stand.reload()
+        server.reload()
         if member is not None:
             from linenbridge.fleet.hosting.witness import again
 
-            again(premises.path, member, log)
+            again(configuration.path, member, log)
 
     lifetime.run(reactor, log, stop, counters, anew)
     return 0
--- a/tests/fleet/freezes/test_holds.py
+++ b/tests/fleet/freezes/test_holds.py
@@ -10,10 +10,10 @@
 from linenbridge import interface as face
 from linenbridge.choice import Choice
 from linenbridge.fleet.freezes.holds import Holds
-from linenbridge.fleet.freezes.premises import windows
+from linenbridge.fleet.freezes.configuration import windows
 from linenbridge.fleet.freezes.windows import Window
 from linenbridge.interface import SECOND
-from linenbridge.premises.read import PremisesError
+from linenbridge.configuration.read import ConfigurationError
 from tests.helpers import MS, entry, pull, running, startup
 from tests.choice.helpers import fail_trial, outcome
 
@@ -179,6 +179,6 @@
     ],
 )
 def test_what_is_wrong_in_it_is_named_with_its_place(tmp_path, inside, line):
-    with pytest.raises(PremisesError) as error:
+    with pytest.raises(ConfigurationError) as error:
         file(tmp_path, inside)
     assert line in str(error.value)
--- a/tests/fleet/test_premises.py
+++ b/tests/fleet/test_configuration.py
@@ -9,8 +9,8 @@
 import pytest
 
 from linenbridge.fleet.leases.quorum import Council
-from linenbridge.fleet.premises import fleet
-from linenbridge.premises.read import PremisesError, parse
+from linenbridge.fleet.configuration import fleet
+from linenbridge.configuration.read import ConfigurationError, parse
 
 SEATS = '<council><seat name="g1"/><seat name="g2"/><seat name="g3"/></council>'
 OTHERS = "".join(f'<member name="g{n}" address="127.0.0.1:710{n}"/>' for n in (2, 3, 4))
@@ -55,13 +55,13 @@
     ],
 )  # fmt: skip
 def test_what_is_wrong_is_named_with_its_place_and_what_to_do(data, line):
-    with pytest.raises(PremisesError) as error:
+    with pytest.raises(ConfigurationError) as error:
         fleet(parse(data, "x.xml"))
     assert line in str(error.value)
 
 
 def test_all_wrong_places_are_named_at_once():
-    with pytest.raises(PremisesError) as error:
+    with pytest.raises(ConfigurationError) as error:
         fleet(parse(told(OTHERS + SEATS.replace('"g3"', '"g9"'), 'lease="5s" beat="4s"'), "x.xml"))
     assert len(str(error.value).splitlines()) == 2
 
--- a/tests/test_premises.py
+++ b/tests/test_configuration.py
@@ -15,8 +15,8 @@
 
 from linenbridge.cli.commands import app
 from linenbridge.drill.processor import free_port
-from linenbridge.premises.read import PremisesError, duration, parse, size
-from linenbridge.processor.premises import Directory, wicket
+from linenbridge.configuration.read import ConfigurationError, duration, parse, size
+from linenbridge.processor.configuration import Directory, wicket
 
 ROOT = Path(__file__).parent.parent
 HEAD = '<linenbridge xmlns="urn:linenbridge:premises:1">\n'
@@ -83,7 +83,7 @@
     ],
 )  # fmt: skip
 def test_one_line_names_the_place_of_whatever_is_wrong(data, words):
-    with pytest.raises(PremisesError) as found:
+    with pytest.raises(ConfigurationError) as found:
         wicket(parse(data, "x.xml"))
     assert words in str(found.value), str(found.value)
     assert all(line.startswith("x.xml") for line in str(found.value).splitlines())
@@ -91,7 +91,7 @@
 
 def test_a_billion_laughs_are_not_told():
     entities = "".join(f'<!ENTITY a{n} "{f"&a{n - 1};" * 10}">' for n in range(1, 10))
-    with pytest.raises(PremisesError):
+    with pytest.raises(ConfigurationError):
         parse(file("&a9;" + ROUTES, before=f'<!DOCTYPE l [<!ENTITY a0 "ha">{entities}]>\n'), "x.xml")
 
 
