Gateways that hear the same tallies say 'on' only where the sum would clear an alarm

To blame: `Votes._wanted`: 'on' up to half of the least threshold, 2.5 nats, odds of 11 to 1 against the build, as if 129 gateways had each looked, where one sum is heard by all. Alarms have counted as one there since the design (`_sum`, log(back votes)); 'on' did not.

Change: where a gateway hears others, 'on' asks for at most a fifth of the least threshold, what clears an alarm (HOLD_LEVEL): one failure has to be 15 outcomes back. By the sum's own steps a build that fails 6% of 30 outcomes passes one look with about 0.18 instead of 0.6. It hurts where good builds fail by chance: they wait a tally or two longer. Tried: the new test fails with the change taken out.

--- a/linenbridge/choice/votes.py
+++ b/linenbridge/choice/votes.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterator
 
-from linenbridge.choice.evidence import LEAST_THRESHOLD, ON_OUTCOMES, ON_WAIT, Evidence
+from linenbridge.choice.evidence import HOLD_LEVEL, LEAST_THRESHOLD, ON_OUTCOMES, ON_WAIT, Evidence
 from linenbridge.interface import (
     BACK, HOLD, NO_VOTE, ON, ON_TRIAL, RELEASED, SECOND, VOTE, Startup,
 )  # fmt: skip
@@ -40,8 +40,9 @@
         if self._holds(self.judged):
             return HOLD if self.plan.by_timer else NO_VOTE
         # A sum on its way to the alarm is no ground for 'on', nor is what this gateway wasn't there to see.
-        highest = self.sums.highest()
-        enough = self.outcomes >= ON_OUTCOMES and highest <= ON_MOST * LEAST_THRESHOLD
+        # Those that hear others hear much the same: their 'on's are one, given on what would clear an alarm.
+        highest, most = self.sums.highest(), HOLD_LEVEL if self.sharing else ON_MOST
+        enough = self.outcomes >= ON_OUTCOMES and highest <= most * LEAST_THRESHOLD
         if enough or (now >= max(*starts, self.born) + ON_WAIT and highest <= 0.0):
             return NO_VOTE if self.plan.by_timer else ON
         return HOLD if self.plan.by_timer else NO_VOTE
--- a/tests/choice/test_votes.py
+++ b/tests/choice/test_votes.py
@@ -53,6 +53,18 @@
     assert gateway._wanted(SECOND) == face.NO_VOTE and not gateway.sums.alarms
 
 
+def test_gateways_that_hear_the_same_tallies_say_on_only_where_the_sum_would_clear_an_alarm():
+    """Seen on join+mass: 325 'on' at W 2.4 of one shared sum, and a build that fails when busy was released."""
+    for told, w, wanted in (
+        (False, 2.4, face.ON), (True, 2.4, face.NO_VOTE), (True, 1.1, face.NO_VOTE), (True, 0.9, face.ON)
+    ):  # fmt: skip
+        gateway = running(tally_period=2 * SECOND, gateways=100, back_votes=35)
+        if told:
+            gateway.on_tally(SECOND, 2, "look", 10, 0, 100 * MS, SECOND)
+        gateway.outcomes, gateway.sums.by_key[0, "failed"] = ON_OUTCOMES, w
+        assert gateway.sharing is told and gateway._wanted(SECOND) == wanted
+
+
 def test_votes_of_two_hundred_gateways_come_to_stand_together_within_the_calls_taken():
     """16 calls a second and 32 in a burst, votes that stand 6 s, 120 needed: a call for a vote that stands
     already, or to take an 'on' back for a moment, is one too few."""
