--- a/tests/choice/test_votes.py
+++ b/tests/choice/test_votes.py
@@ -54,7 +54,7 @@
 
 
 def test_gateways_that_hear_the_same_tallies_say_on_only_where_the_sum_would_clear_an_alarm():
-    """Seen on join+mass: 325 'on' at W 2.4 of one shared sum, and a build that fails when busy was released."""
+    """Seen on join+mass: 325 'on' at W 2.4 of one sum, and a build that fails when busy was released."""
     for told, w, wanted in (
         (False, 2.4, face.ON), (True, 2.4, face.NO_VOTE), (True, 1.1, face.NO_VOTE), (True, 0.9, face.ON)
     ):  # fmt: skip
