Loopback tests take the watch's head from the stand-in transports' one place

Seen on reading the change once more: the head of a watch's answer stood in tests/net/bench.py and again in loopback.py. One place now; the tests of starts pass, all of tests/net are collected.

--- a/tests/net/loopback.py
+++ b/tests/net/loopback.py
@@ -19,10 +19,10 @@
 
 import linenbridge
 from linenbridge.net import resp
+from tests.net.bench import HEAD as HEAD
 
 ROOT = Path(linenbridge.__file__).parents[1]
 WAIT = 10.0  # no step of a test takes longer than this
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
 class EndError(Exception):
