--- a/linenbridge/processor/wording.py
+++ b/linenbridge/processor/wording.py
@@ -100,9 +100,7 @@
         option.append_action = Overwrite
 
 
-def hand_out(
-    headers: dict[str, str], metadata: tuple[str, dict[str, str]] | None, trailers: bool
-) -> bytes:
+def hand_out(headers: dict[str, str], metadata: tuple[str, dict[str, str]] | None, trailers: bool) -> bytes:
     """The answer to request headers that go on; `metadata` is a namespace with its values. The proxy is asked
     to show the response's headers, and its trailers where only they tell how it went."""
     answer = wire.ProcessingResponse()
--- a/linenbridge/wirehost/adapter.py
+++ b/linenbridge/wirehost/adapter.py
@@ -18,6 +18,7 @@
     "C": face.UNREACHED, "R": face.BROKEN, "X": face.CANCELLED, "N": face.UNSENT,
 }  # fmt: skip
 
+
 class Host:
     """The gateways of one process; nothing is shared between them but the numbered lists."""
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -168,12 +168,27 @@
     """What the platform runs imports nothing that it does not need."""
     environ = {name: value for name, value in os.environ.items() if name != "LB_CONFIG"}
     found = subprocess.run(
-        [sys.executable, "-X", "importtime", "-m", "linenbridge"], cwd=ROOT, env=environ, capture_output=True, text=True
+        [sys.executable, "-X", "importtime", "-m", "linenbridge"],
+        cwd=ROOT,
+        env=environ,
+        capture_output=True,
+        text=True,
     )
     names = {line.rpartition("|")[2].strip() for line in found.stderr.splitlines()}
     loaded = {name.partition(".")[0] for name in names}
     assert found.returncode == 2 and "twisted" in loaded
-    assert not loaded & {"typer", "click", "rich", "lxml", "lark", "h2", "google", "apsw", "structlog", "cryptography"}
+    assert not loaded & {
+        "typer",
+        "click",
+        "rich",
+        "lxml",
+        "lark",
+        "h2",
+        "google",
+        "apsw",
+        "structlog",
+        "cryptography",
+    }
     assert "OpenSSL.crypto" not in names  # Twisted looks for it, and must not find it.
 
 
