--- /dev/null
+++ b/tests/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale tests and the capacity page: slopes measured by program, and what they come to at a stated size."""
--- /dev/null
+++ b/tests/scale/measure/module.py
@@ -0,0 +1,75 @@
+"""An RPC in the decision module: its processor time and the module's memory by the number of instances."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from linenbridge.choice import Choice, placing
+from linenbridge.interface import OK, PICK, RELEASED
+
+from tests.helpers import pull, startup
+from tests.scale.measure.costs import held_bytes, processor_time, text_of
+from tests.scale.measure.instances import listed
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: module"
+MEASURED_BY = "tests.scale.measure.module"
+SIZES = (20, 200, 2_000, 20_000)
+MEMORY_SIZES = (0, 20, 200, 2_000, 20_000)
+RATE = 719  # RPCs a second: 2.3 million over 3,200 gateways
+TOOK = 5_000  # microseconds until an instance answers
+METHOD, TTL = "look", 2_000_000
+
+
+class Traffic:
+    """RPCs at a steady pace on the module's own clock, each answered well after a fixed time."""
+
+    def __init__(self, gateway: Choice) -> None:
+        self.gateway, self.now, self.number = gateway, 0, 0
+        self.out: deque[tuple[int, str]] = deque()
+
+    def one(self) -> None:
+        """The next RPC, with the answers and wakes that fall due before it."""
+        gateway = self.gateway
+        self.now += 1_000_000 // RATE
+        while self.out and self.out[0][0] <= self.now:
+            answered, rpc = self.out.popleft()
+            gateway.on_reply(answered, rpc, 0, OK, True, TOOK, {})
+            pull(gateway, answered)
+        rpc = str(self.number)
+        self.number += 1
+        gateway.on_rpc(self.now, rpc, METHOD, TTL, None, "", None)
+        for decision in pull(gateway, self.now):
+            if decision[0] == PICK:
+                self.out.append((self.now + TOOK, decision[1]))
+
+
+def gateway(instances: int) -> Choice:
+    """A module that has heard a whole list, its one later build released."""
+    made = Choice(startup(gateways=3_200), seed=7, now=0)
+    if instances:
+        made.on_list(0, listed(instances), whole=True, answers=True)
+        made.on_stage(0, 2, 1, RELEASED, 1.0, vote=False, valid=True)
+    return made
+
+
+def rpc_time(instances: int) -> float:
+    """Microseconds of processor time for one RPC from request to answer, sweeps included."""
+    traffic = Traffic(gateway(instances))
+    for _ in range(2_000):
+        traffic.one()
+    return processor_time(traffic.one, 1_000, 3)
+
+
+def rows() -> list[Slope]:
+    common = dict(role=ROLE, size="instances", measured_by=MEASURED_BY, text=text_of(placing))
+    return [
+        slope("linear", [(n, rpc_time(n)) for n in SIZES], what="one RPC", unit="us", **common,
+              note=f"{RATE} RPCs a second at the gateway"),
+        slope("linear", [(n, held_bytes(lambda n=n: gateway(n))) for n in MEMORY_SIZES],
+              what="memory of the module", unit="bytes", **common),
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    merge(rows())
--- /dev/null
+++ b/tests/scale/measure/peers.py
@@ -0,0 +1,60 @@
+"""Peers' counts at a gateway: the memory of what each has told, and the time of one message."""
+
+from __future__ import annotations
+
+from linenbridge.state import peers as peers_module
+from linenbridge.state.counters import Counts
+from linenbridge.state.peers import Heard, pack
+
+from tests.scale.measure.costs import held_bytes, processor_time, text_of
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: release decisions"
+MEASURED_BY = "tests.scale.measure.peers"
+SIZES = (32, 320, 3_200, 32_000)
+METHODS, BUILDS = 3, (1, 2)
+
+
+def words(token: int, picks: int = 20) -> bytes:
+    """What one life of a peer tells: its counts of both builds and all methods."""
+    counts = {
+        (build, m): Counts(picks, 1, picks - 1, picks * 5_000) for build in BUILDS for m in range(METHODS)
+    }
+    return pack(token, BUILDS, METHODS, counts)
+
+
+def told(lives: int) -> Heard:
+    """What a gateway has heard after that many lives of peers; each told once."""
+    heard = Heard(METHODS)
+    for life in range(lives):
+        for _ in heard.fresh(life % 3_200, words(life & 0xFFFF)):
+            pass
+    return heard
+
+
+def message_time(lives: int) -> float:
+    """Microseconds to take in one message with something new."""
+    heard = told(lives)
+    messages = [words(1, picks) for picks in range(21, 1_021)]
+    peer = iter(range(1_000_000))
+
+    def take() -> None:
+        number = next(peer)
+        for _ in heard.fresh(number // len(messages) % 3_200, messages[number % len(messages)]):
+            pass
+
+    return processor_time(take, 1_000)
+
+
+def rows() -> list[Slope]:
+    common = dict(role=ROLE, size="lives of peers", measured_by=MEASURED_BY, text=text_of(peers_module))
+    return [
+        slope("linear", [(n, held_bytes(lambda n=n: told(n))) for n in SIZES],
+              what="memory of peers' counts", unit="bytes", **common),
+        slope("constant", [(n, message_time(n)) for n in SIZES],
+              what="one peer's message", unit="us", **common),
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    merge(rows())
--- /dev/null
+++ b/tests/scale/measure/tenants.py
@@ -0,0 +1,51 @@
+"""A gateway's tenants: the memory of their rates and the time to count one request."""
+
+from __future__ import annotations
+
+from linenbridge.state import counters as counters_module
+from linenbridge.state.counters import Parts
+
+from tests.scale.measure.costs import held_bytes, processor_time, text_of
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: tenants"
+MEASURED_BY = "tests.scale.measure.tenants"
+SIZES = (350, 3_500, 35_000, 350_000)
+MEMORY = 5_000_000  # microseconds that a rate is remembered, as the module passes it in
+
+
+def names(count: int) -> list[str]:
+    return [f"tenant-{number:07d}" for number in range(count)]
+
+
+def count_time(count: int) -> float:
+    """Microseconds to count one request of a named tenant."""
+    parts, asked = Parts(MEMORY, names(count)), names(count)[count // 2]
+    return processor_time(lambda: parts.part(1_000_000, asked), 5_000)
+
+
+def shares_bytes(count: int) -> int:
+    """Bytes of the settings' table of shares, names included: what a start hands to the module."""
+    return held_bytes(lambda: {name: 1.0 / count for name in names(count)})
+
+
+def rates_bytes(count: int) -> int:
+    """Bytes of the rates, the names not counted: they are those of the table of shares."""
+    given = names(count)
+    return held_bytes(lambda: Parts(MEMORY, given))
+
+
+def rows() -> list[Slope]:
+    common = dict(role=ROLE, size="tenants", measured_by=MEASURED_BY, text=text_of(counters_module))
+    return [
+        slope("linear", [(n, rates_bytes(n)) for n in SIZES],
+              what="memory of the rates", unit="bytes", **common),
+        slope("linear", [(n, shares_bytes(n)) for n in SIZES],
+              what="memory of the shares", unit="bytes", **common),
+        slope("constant", [(n, count_time(n)) for n in SIZES],
+              what="one request counted", unit="us", **common),
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    merge(rows())
