--- /dev/null
+++ b/tests/scale/measure/discovery.py
@@ -0,0 +1,62 @@
+"""Discovery and the platform as a gateway uses them: bytes on the wire, and the time to read them."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import msgspec
+import orjson
+
+from linenbridge.net import discovery as discovery_module, http
+from linenbridge.net.discovery import Discovery, Endpoint, Listing
+
+from tests.scale.measure.costs import processor_time, text_of
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "discovery"
+MEASURED_BY = "tests.scale.measure.discovery"
+SIZES = (20, 200, 2_000, 20_000, 200_000)
+VOTES = (1, 10, 100)
+
+
+def line(count: int) -> bytes:
+    """A whole list of that many instances, as discovery sends it."""
+    endpoints = [
+        Endpoint(
+            f"i-{number:06d}", f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080", "active", 363,
+            f"zone-{number % 19}", number % 400, 1.0, 1_700_000_000_000.0 + number,
+        )
+        for number in range(count)
+    ]  # fmt: skip
+    return msgspec.json.encode(Listing(1, True, endpoints))
+
+
+def read_time(count: int) -> float:
+    """Microseconds to read a whole list into the module's entries, the module itself not counted."""
+    told = memoryview(line(count))
+    loop = SimpleNamespace(gather=lambda call: None)
+    reader = Discovery(loop, (), 0, True, None, lambda **_: None)
+    return processor_time(lambda: reader.told(told), max(1, 2_000 // count), 3)
+
+
+def vote_bytes(votes: int) -> float:
+    """Bytes of so many votes as they are sent, each on a connection of its own; TCP's own are not counted."""
+    body = orjson.dumps({"version": 363, "step": 1, "vote": "on"})
+    return votes * len(http.request("POST", "/api/ballots", "10.0.0.1:7600", body))
+
+
+def rows() -> list[Slope]:
+    text = text_of(discovery_module)
+    common = dict(role=ROLE, size="instances", measured_by=MEASURED_BY, text=text)
+    platform = dict(role="platform", size="votes", measured_by=MEASURED_BY, text=text)
+    return [
+        slope("linear", [(n, len(line(n))) for n in SIZES],
+              what="bytes of a whole list", unit="bytes", **common),
+        slope("linear", [(n, read_time(n)) for n in SIZES], what="a whole list read", unit="us", **common),
+        slope("proportional", [(n, vote_bytes(n)) for n in VOTES],
+              what="bytes of votes", unit="bytes", **platform),
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    merge(rows())
--- /dev/null
+++ b/tests/scale/measure/gateway.py
@@ -0,0 +1,99 @@
+"""A gateway's process as `run` starts it, on loopback stand-ins: idle, and told of one change after another.
+
+The list is told by discovery's stand-in, with the limit on one line lifted (it follows the memory limit).
+Processor time is the kernel's own count of the process, memory is what is resident.
+"""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from pathlib import Path
+
+from tests.net import loopback
+from tests.net.loopback import Running
+from tests.scale.measure import COMPILED
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: process"
+MEASURED_BY = "tests.scale.measure.gateway"
+SIZES = (20, 200, 2_000, 20_000, 200_000)
+LIMITS = {"cores": 1.0, "memory_mb": 4_096, "sockets": 1_024}
+IDLE, CHANGES, BETWEEN = 3.0, 10, 0.1  # seconds; changes told one by one; seconds between two
+QUIET, QUIET_SHARE = 0.5, 0.05  # the process has settled once it used less of a core than this for so long
+PAGE = os.sysconf("SC_PAGESIZE")
+
+
+def processor_seconds(pid: int) -> float:
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
+
+
+def resident(pid: int) -> int:
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+
+
+def settle(pid: int) -> None:
+    """Waits until the process has worked off what it was told."""
+    before = processor_seconds(pid)
+    while True:
+        time.sleep(QUIET)
+        after = processor_seconds(pid)
+        if after - before < QUIET * QUIET_SHARE:
+            return
+        before = after
+
+
+def endpoints(running: Running, count: int) -> list[dict]:
+    return [
+        running.row(
+            name=f"i-{number:06d}",
+            zone=f"zone-{number % 19}",
+            group=number % 400,
+            weight=1.0,
+            release=1,
+            since_ms=1_700_000_000_000 + number,
+        )
+        for number in range(count)
+    ]
+
+
+def gateway_costs(count: int) -> tuple[float, float, float]:
+    """Resident bytes, microseconds of processor time a second when idle, and those for one change."""
+    before = f"import sys; sys.path.insert(0, {str(COMPILED)!r})"
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Running(Path(folder), known=False, before=before, limits=LIMITS) as running,
+    ):
+        pid = running.run.pid
+        running.until("started")
+        rows = endpoints(running, count)
+        running.watch.chunk({"index": 1, "snapshot": True, "endpoints": rows})
+        settle(pid)
+        started = processor_seconds(pid)
+        time.sleep(IDLE)
+        idle = (processor_seconds(pid) - started) / IDLE
+        started, began = processor_seconds(pid), time.monotonic()
+        for number in range(CHANGES):
+            row = rows[number % len(rows)] | {"status": "leaving"}
+            running.watch.chunk({"index": 2 + number, "snapshot": False, "endpoints": [row]})
+            time.sleep(BETWEEN)
+        settle(pid)
+        spent = processor_seconds(pid) - started - idle * (time.monotonic() - began)
+        return resident(pid), idle * 1e6, max(0.0, spent / CHANGES * 1e6)
+
+
+def rows() -> list[Slope]:
+    costs = [(n, gateway_costs(n)) for n in SIZES]
+    text = "compiled" if (COMPILED / "linenbridge").exists() else "interpreted"
+    common = dict(role=ROLE, size="instances", measured_by=MEASURED_BY, text=text)
+    return [
+        slope("linear", [(n, cost[0]) for n, cost in costs], what="resident memory", unit="bytes", **common),
+        slope("constant", [(n, cost[1]) for n, cost in costs], what="idle", unit="us a second", **common),
+        slope("linear", [(n, cost[2]) for n, cost in costs], what="one change told", unit="us", **common),
+    ]
+
+
+if __name__ == "__main__":
+    loopback.ROOT = Path(__file__).parents[3]
+    merge(rows())
--- /dev/null
+++ b/tests/scale/measure/processor.py
@@ -0,0 +1,80 @@
+"""The external processor's front: processor time of one request by how many are open at once.
+
+The server side alone is timed, from the proxy's bytes to the bytes of its answer, over transports in
+memory: the scripted proxy's own half is not in it, nor are sockets and TLS.
+"""
+
+from __future__ import annotations
+
+import time
+
+from linenbridge.choice import placing
+from linenbridge.processor.tickets import TicketTerms
+
+from tests.helpers import MS, entry
+from tests.peer_script import Bench, PeerScript
+from tests.scale.measure.costs import text_of
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: external processor"
+MEASURED_BY = "tests.scale.measure.processor"
+SIZES = (1, 10, 100)  # a connection takes 100 streams at once
+REQUESTS = 1_000
+INSTANCES = 22  # of one service: 200,000 instances in 8,900 services
+TERMS = TicketTerms(100 * MS, 100 * MS, 60_000 * MS, 1_000, 100_000)
+ADDRESSES = [(entry(number), ("10.0.0.1", 7_000 + number)) for number in range(1, INSTANCES + 1)]
+
+
+class TimedPeer(PeerScript):
+    """A scripted proxy that times what the server does with what it is sent."""
+
+    nanoseconds = 0
+
+    def deliver(self) -> None:
+        data = self.h2.data_to_send()
+        started = time.process_time_ns()
+        if data:
+            self.pipe.protocol.dataReceived(data)
+        self.bench.turn()
+        self.nanoseconds += time.process_time_ns() - started
+        self.read()
+
+
+def request_time(at_once: int) -> float:
+    """Microseconds for a request, asked and reported, with so many open at once."""
+    bench = Bench(terms=TERMS, instances=0)
+    bench.list(ADDRESSES)
+    peer = TimedPeer(bench)
+    answered = asked = 0
+    peer.nanoseconds = 0
+    while asked < REQUESTS:
+        streams = [peer.ask("/look/1", f"r{asked + number}") for number in range(at_once)]
+        asked += at_once
+        for stream in streams:
+            if stream.endpoint is not None:
+                answered += 1
+                peer.report(stream, 200)
+            peer.done(stream)
+    if answered < asked * 0.9:
+        raise RuntimeError(f"only {answered} of {asked} requests were handed out with {at_once} at once")
+    return peer.nanoseconds / 1000 / asked
+
+
+def rows() -> list[Slope]:
+    return [
+        slope(
+            "linear",
+            [(n, request_time(n)) for n in SIZES],
+            role=ROLE,
+            what="one request",
+            size="open at once",
+            unit="us",
+            measured_by=MEASURED_BY,
+            text=f"module {text_of(placing)}, front interpreted",
+            note="transports in memory; neither sockets nor TLS",
+        )
+    ]
+
+
+if __name__ == "__main__":
+    merge(rows())
--- /dev/null
+++ b/tests/scale/measure/releases.py
@@ -0,0 +1,56 @@
+"""A gateway's release decisions: the time to weigh one outcome, by the instances at the build on trial."""
+
+from __future__ import annotations
+
+from linenbridge.choice import Choice, placing
+from linenbridge.interface import ON_TRIAL
+from linenbridge.state.counters import Counts
+
+from tests.helpers import entry, startup
+from tests.scale.measure.costs import processor_time, text_of
+from tests.scale.slopes import Slope, merge, slope
+
+ROLE = "gateway: release decisions"
+MEASURED_BY = "tests.scale.measure.releases"
+SIZES = (20, 200, 2_000)
+EARLIER, ON_TRIAL_BUILD = 1, 2
+TIMED = Counts(picks=1, failed=0, served=1, time=5_000)
+FAILED = Counts(picks=1, failed=1, served=0, time=0)
+
+
+def outcome_time(instances: int) -> float:
+    """Microseconds to weigh a good outcome after every instance of the build has failed once."""
+    gateway = Choice(startup(gateways=3_200), seed=7, now=0)
+    entries = [entry(n, EARLIER if n % 2 else ON_TRIAL_BUILD) for n in range(2 * instances)]
+    gateway.on_list(0, entries, whole=True, answers=True)
+    gateway.on_stage(0, ON_TRIAL_BUILD, 1, ON_TRIAL, 1.0, vote=False, valid=True)
+    gateway._hear(EARLIER, 0, Counts(100, 1, 99, 99 * 5_000))
+    tried = gateway.near[ON_TRIAL_BUILD]
+
+    def weigh_all() -> None:
+        for i in tried:
+            gateway._hear(ON_TRIAL_BUILD, 0, FAILED, i)
+        for i in tried:
+            gateway._hear(ON_TRIAL_BUILD, 0, TIMED, i)
+
+    return processor_time(weigh_all, max(1, 200 // instances), 3) / (2 * instances)
+
+
+def rows() -> list[Slope]:
+    return [
+        slope(
+            "linear",
+            [(n, outcome_time(n)) for n in SIZES],
+            role=ROLE,
+            what="one outcome weighed",
+            size="instances on trial",
+            unit="us",
+            measured_by=MEASURED_BY,
+            text=text_of(placing),
+            note="every second outcome a failure, each instance in turn",
+        )
+    ]
+
+
+if __name__ == "__main__":
+    merge(rows())
