--- a/tests/scale/measure/routes.py
+++ b/tests/scale/measure/routes.py
@@ -68,6 +68,8 @@
     lift_limits()
     common = dict(role=ROLE, size="routes", measured_by=MEASURED_BY, text=text_of(table_module))
     return [
+        slope("proportional", [(n, len(text(n))) for n in SIZES],
+              what="bytes of the text", unit="bytes", **common),
         slope("quadratic", [(n, make_time(n)) for n in SIZES],
               what="a table made, one change being a whole one", unit="us", **common),
         slope("linear", [(n, held_bytes(lambda n=n: unchecked(n))) for n in SIZES],
--- /dev/null
+++ b/tests/scale/page/__main__.py
@@ -0,0 +1,71 @@
+"""`python -m tests.scale.page [--write]`: the generated parts of docs/CAPACITY.md, printed or put in place.
+
+Each part stands between `<!-- NAME: begin -->` and `<!-- NAME: end -->`; what stands around them is written
+by hand and stays.
+"""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+
+import msgspec
+
+from tests.scale import slopes as slopes_file
+from tests.scale.page import render
+from tests.scale.page.size import load_size
+
+DOCS = Path(__file__).parents[3] / "docs"
+PAGE, FAMILIES = DOCS / "CAPACITY.md", DOCS / "capacity" / "families.json"
+
+
+class MissingPartError(ValueError):
+    """The page lacks the markers of a part."""
+
+    advice = (
+        "put `<!-- NAME: begin -->` and `<!-- NAME: end -->` on lines of their own where the part belongs"
+    )
+
+    def __init__(self, name: str) -> None:
+        super().__init__(f"the page has no markers for {name}: {self.advice}")
+
+
+def parts() -> dict[str, str]:
+    """The generated parts by name."""
+    size, slopes = load_size(), slopes_file.load()
+    rows = render.all_rows(size, slopes)
+    families = msgspec.json.decode(FAMILIES.read_bytes()) if FAMILIES.exists() else []
+    return {
+        "size": render.size_table(size),
+        "first": render.most_over(rows),
+        "roles": render.role_tables(rows),
+        "comparison": render.comparison(rows),
+        "families": render.families(families),
+        "slopes": render.slope_table(slopes),
+    }
+
+
+def filled(page: str, generated: dict[str, str]) -> str:
+    """The page with each part between its markers; MissingPartError where it has none."""
+    for name, part in generated.items():
+        begin, end = f"<!-- {name}: begin -->", f"<!-- {name}: end -->"
+        pattern = re.compile(f"{re.escape(begin)}\n.*?{re.escape(end)}", re.DOTALL)
+        if pattern.search(page) is None:
+            raise MissingPartError(name)
+        whole = f"{begin}\n\n{part}\n{end}"
+        page = pattern.sub(lambda _, whole=whole: whole, page)
+    return page
+
+
+def main(arguments: list[str]) -> int:
+    generated = parts()
+    if "--write" in arguments:
+        PAGE.write_text(filled(PAGE.read_text(), generated))
+    else:
+        print("\n".join(generated.values()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/scale/page/figures.py
@@ -0,0 +1,112 @@
+"""A figure, how it is known, and a row of the page.
+
+A figure that rests on several others is known as badly as the worst of them. Units are plain: seconds,
+bytes, bytes a second, a share of a core, a number, a number a second.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from math import exp, log
+
+from msgspec import Struct
+
+from tests.scale.slopes import Slope
+
+
+class Known(IntEnum):
+    """How a figure is known, from the best to the worst."""
+
+    COUNTED = 0  # arithmetic on the stated size
+    MEASURED = 1  # at a measured size
+    BETWEEN = 2  # between two measured sizes
+    EXTRAPOLATED = 3  # by the fit, beyond the measured sizes
+
+
+KNOWN_WORDS = {
+    Known.COUNTED: "counted",
+    Known.MEASURED: "measured",
+    Known.BETWEEN: "between measured sizes",
+    Known.EXTRAPOLATED: "**extrapolated**",
+}
+
+
+class Figure(Struct, frozen=True):
+    """A value in the unit of its row, and how it is known."""
+
+    value: float
+    known: Known = Known.COUNTED
+
+    def __mul__(self, factor: float) -> Figure:
+        return Figure(self.value * factor, self.known)
+
+    def __add__(self, other: Figure) -> Figure:
+        return Figure(self.value + other.value, max(self.known, other.known))
+
+
+class Row(Struct, frozen=True, kw_only=True):
+    """One quantity of one role: on an ordinary second, at a burst, its budget, and the mechanism.
+
+    A figure that is None has not been measured. `after` is the ordinary figure with the new tables.
+    """
+
+    role: str
+    what: str
+    unit: str
+    mechanism: str
+    ordinary: Figure | None
+    burst: Figure | None = None
+    burst_is: str = ""
+    budget: float | None = None
+    after: Figure | None = None
+
+    @property
+    def factor(self) -> float | None:
+        """The largest figure over its budget; None without a figure or a budget."""
+        found = [figure.value for figure in (self.ordinary, self.burst) if figure is not None]
+        if not found or not self.budget:
+            return None
+        return max(found) / self.budget
+
+    @property
+    def known(self) -> str:
+        """How the row's figures are known, in words."""
+        found = [figure.known for figure in (self.ordinary, self.burst) if figure is not None]
+        return KNOWN_WORDS[max(found)] if found else "**not measured**"
+
+
+class Costs:
+    """The measured costs, looked up by role and what they measure."""
+
+    def __init__(self, slopes: list[Slope]) -> None:
+        self.by_key = {slope.key: slope for slope in slopes}
+
+    def at(self, role: str, what: str, size: float, state: str = "now") -> Figure | None:
+        """The cost at a size in the slope's own unit; None where nobody measured it."""
+        slope = self.by_key.get((role, what, state))
+        return None if slope is None else cost_at(slope, size)
+
+    def scaled(self, role: str, what: str, size: float, factor: float, state: str = "now") -> Figure | None:
+        """The cost at a size times a factor, such as a rate or a change of unit."""
+        found = self.at(role, what, size, state)
+        return None if found is None else found * factor
+
+
+def cost_at(slope: Slope, size: float) -> Figure:
+    """A measured point as it is, a size between two points on the line between them in logarithms, and a
+    size outside of them by the fit."""
+    points = sorted(slope.points)
+    for measured, cost in points:
+        if measured == size:
+            return Figure(cost, Known.MEASURED)
+    for (low, low_cost), (high, high_cost) in zip(points, points[1:], strict=False):
+        if low < size < high:
+            return Figure(_between(size, low, low_cost, high, high_cost), Known.BETWEEN)
+    return Figure(slope.fit.at(size), Known.EXTRAPOLATED)
+
+
+def _between(size: float, low: float, low_cost: float, high: float, high_cost: float) -> float:
+    if min(low, low_cost, high_cost) <= 0.0:
+        return low_cost + (high_cost - low_cost) * (size - low) / (high - low)
+    part = log(size / low) / log(high / low)
+    return exp(log(low_cost) + part * log(high_cost / low_cost))
--- /dev/null
+++ b/tests/scale/page/render.py
@@ -0,0 +1,224 @@
+"""The page's generated parts as Markdown: the size, the rows of each role, what gives first, the slopes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tests.scale.page import control, gateway
+from tests.scale.page.figures import Costs, Figure, Row
+from tests.scale.page.size import Size
+from tests.scale.slopes import Slope
+
+THOUSANDS = ("", "k", "M", "G", "T")
+MINUTE, HOUR = 60.0, 3_600.0
+LARGE, MANY = 10.0, 1_000.0  # from these on a factor is written without a decimal, and with separators
+
+
+def all_rows(size: Size, slopes: list[Slope]) -> list[Row]:
+    """The rows of every role in the page's order."""
+    costs = Costs(slopes)
+    return [*gateway.rows(size, costs), *control.rows(size, costs)]
+
+
+# ---- quantities ----------------------------------------------------------------------------------------
+
+
+def number(value: float) -> str:
+    """Three significant digits, large ones with separators."""
+    if value == 0.0:
+        return "0"
+    if value >= MANY:
+        digits = len(str(int(value))) - 3
+        return f"{int(round(value / 10**digits) * 10**digits):,}"
+    return f"{float(f'{value:.3g}'):g}"
+
+
+def byte_count(value: float) -> str:
+    """Bytes in decimal units."""
+    step = 0
+    while value >= 1_000.0 and step < len(THOUSANDS) - 1:
+        value /= 1_000.0
+        step += 1
+    return f"{float(f'{value:.3g}'):g} {THOUSANDS[step]}B"
+
+
+def seconds(value: float) -> str:
+    """A time in the unit that suits it."""
+    if value < 1e-3:
+        return f"{number(value * 1e6)} us"
+    if value < 1.0:
+        return f"{number(value * 1e3)} ms"
+    if value < 2 * MINUTE:
+        return f"{number(value)} s"
+    if value < 2 * HOUR:
+        return f"{number(value / MINUTE)} min"
+    return f"{number(value / HOUR)} h"
+
+
+def quantity(value: float, unit: str) -> str:
+    """A value with its unit."""
+    match unit:
+        case "bytes":
+            return byte_count(value)
+        case "bytes/s":
+            return f"{byte_count(value)}/s"
+        case "s":
+            return seconds(value)
+        case "core":
+            return f"{number(value * 100)}% of a core"
+        case "1/s":
+            return f"{number(value)}/s"
+    return number(value)
+
+
+def figure(found: Figure | None, unit: str) -> str:
+    return "-" if found is None else quantity(found.value, unit)
+
+
+def over(row: Row) -> str:
+    """By how much a row is over its budget."""
+    if row.factor is None:
+        return "-"
+    if row.factor <= 1.0:
+        return "no"
+    return f"**{factor_words(row.factor)}**"
+
+
+def factor_words(factor: float) -> str:
+    """A factor over a budget."""
+    return f"{number(factor)} times" if factor >= LARGE else f"{factor:.1f} times"
+
+
+# ---- tables --------------------------------------------------------------------------------------------
+
+
+def table(heads: Sequence[str], lines: Sequence[Sequence[str]]) -> str:
+    """A Markdown table."""
+    written = [heads, ["---"] * len(heads), *lines]
+    return "\n".join("| " + " | ".join(cells) + " |" for cells in written) + "\n"
+
+
+def _row_cells(row: Row) -> list[str]:
+    burst = figure(row.burst, row.unit)
+    if row.burst_is:
+        burst = f"{burst} ({row.burst_is})"
+    return [
+        row.what,
+        row.mechanism,
+        figure(row.ordinary, row.unit),
+        burst,
+        "-" if row.budget is None else quantity(row.budget, row.unit),
+        over(row),
+        row.known,
+    ]
+
+
+ROLE_HEADS = ("what", "mechanism", "on an ordinary second", "at a burst", "budget", "over by", "known")
+
+
+def role_tables(rows: list[Row]) -> str:
+    """A table for each role."""
+    parts = []
+    for role in (*gateway.ROLES, *control.ROLES):
+        lines = [_row_cells(row) for row in rows if row.role == role]
+        parts.append(f"### {role[0].upper()}{role[1:]}\n\n{table(ROLE_HEADS, lines)}")
+    return "\n".join(parts)
+
+
+def first_to_give(rows: list[Row]) -> Row:
+    """The row with the largest factor over its budget."""
+    return max((row for row in rows if row.factor is not None), key=lambda row: row.factor or 0.0)
+
+
+MOST_OVER = 12
+
+
+def most_over(rows: list[Row]) -> str:
+    """What gives first in a sentence, then the rows that are over their budgets by most."""
+    first = first_to_give(rows)
+    value = max(found.value for found in (first.ordinary, first.burst) if found is not None)
+    said = (
+        f"**What gives first: {first.what}** ({first.role}): {quantity(value, first.unit)} where "
+        f"{quantity(first.budget or 0.0, first.unit)} are allowed, {factor_words(first.factor or 0.0)} "
+        f"({first.known.strip('*')}). It is carried by {first.mechanism}.\n"
+    )
+    exceeding = [row for row in rows if row.factor is not None and row.factor > 1.0]
+    exceeding.sort(key=lambda row: -(row.factor or 0.0))
+    lines = [
+        [row.role, row.what, factor_words(row.factor or 0.0), row.known] for row in exceeding[:MOST_OVER]
+    ]
+    return f"{said}\n{table(('role', 'what', 'over by', 'known'), lines)}"
+
+
+def comparison(rows: list[Row]) -> str:
+    """The rows that the new tables replace, before and after."""
+    lines = [
+        [
+            row.role,
+            row.what,
+            figure(row.ordinary if row.burst is None else row.burst, row.unit),
+            figure(row.after, row.unit),
+            "-" if row.budget is None else quantity(row.budget, row.unit),
+            "-"
+            if row.budget is None
+            else ("no" if row.after.value <= row.budget else factor_words(row.after.value / row.budget)),
+            "measured" if row.after.known <= 1 else "not at this size",
+        ]
+        for row in rows
+        if row.after is not None
+    ]
+    if not lines:
+        return "Not measured yet.\n"
+    return table(("role", "what", "now", "new tables", "budget", "over by", "known"), lines)
+
+
+def slope_table(slopes: list[Slope]) -> str:
+    """Every measured slope with its points and its fit."""
+    lines = [
+        [
+            slope.role,
+            slope.what + (" (new tables)" if slope.state == "after" else ""),
+            f"{slope.unit} by {slope.size}",
+            ", ".join(f"{number(size)}: {number(cost)}" for size, cost in slope.points),
+            f"{slope.fit.form}, off by {slope.fit.worst_error:.0%} at most",
+            slope.text,
+            f"`{slope.measured_by}`",
+        ]
+        for slope in sorted(slopes, key=lambda slope: slope.key)
+    ]
+    return table(("role", "what", "unit", "size: cost", "fit", "text", "measured by"), lines)
+
+
+def size_table(size: Size) -> str:
+    """The size and what follows from it."""
+    fleet, budget = size.fleet, size.budget
+    lines = [
+        ["gateways", number(fleet.gateways)],
+        ["instances, services", f"{number(fleet.instances)}, {number(fleet.services)}"],
+        ["regions, zones", f"{fleet.regions}, {fleet.zones}"],
+        ["requests a second, of all and of a gateway",
+         f"{number(size.load.requests_a_second)}, {number(size.requests_a_gateway)}"],
+        ["routes, of a service", f"{number(size.configuration.routes)}, {number(size.routes_a_service)}"],
+        ["tenants", number(size.configuration.tenants)],
+        ["changes of configuration a day, a second",
+         f"{number(size.configuration.changes_a_day)}, {number(size.configuration_changes_a_second)}"],
+        ["restarts a day, list changes a second",
+         f"{number(size.failures.restarts_a_day)}, {number(size.list_changes_a_second)}"],
+        ["machines that fail on an ordinary day", number(size.failures.machines_failing_a_day)],
+        ["instances of a zone", number(size.instances_a_zone)],
+        ["gateways that restart together", number(size.gateways_restarting)],
+        ["control at a gateway, at most",
+         f"{quantity(budget.core_share, 'core')}, {byte_count(size.memory)}, "
+         f"{quantity(budget.bytes_a_second, 'bytes/s')}"],
+        ["machines for control: relays, seats of the quorum",
+         f"{budget.machines}: {budget.relays}, {budget.quorum_seats}"],
+    ]  # fmt: skip
+    return table(("", ""), lines)
+
+
+def families(found: list[dict[str, object]]) -> str:
+    """The closing lines of the scale tests' families."""
+    if not found:
+        return "No family has been run at this size yet.\n"
+    lines = [[str(line[name]) for name in found[0]] for line in found]
+    return table(list(found[0]), lines)
--- /dev/null
+++ b/tests/scale/test_page.py
@@ -0,0 +1,113 @@
+"""The capacity page holds what slopes and size come to; each slope's fit is that of its points."""
+
+from __future__ import annotations
+
+import importlib.util
+
+import msgspec
+import pytest
+
+from tests.scale import slopes as slopes_file
+from tests.scale.fits import FORMS, fitted
+from tests.scale.page import control, gateway, render
+from tests.scale.page.__main__ import PAGE, MissingPartError, filled, parts
+from tests.scale.page.figures import Costs, Figure, Known, Row, cost_at
+from tests.scale.page.size import load_size
+
+SLOPES = slopes_file.load()
+TENFOLD = 10.0
+
+
+def test_the_page_holds_the_programs_output():
+    page = PAGE.read_text()
+    assert filled(page, parts()) == page, "run `python -m tests.scale.page --write`"
+
+
+def test_a_changed_figure_shows():
+    page = PAGE.read_text()
+    changed = page.replace("3,200", "3,201", 1)
+    assert changed != page and filled(changed, parts()) == page
+
+
+def test_a_page_without_a_parts_markers_is_refused():
+    with pytest.raises(MissingPartError, match="roles"):
+        filled("<!-- size: begin -->\n<!-- size: end -->", {"size": "x\n", "roles": "y\n"})
+
+
+@pytest.mark.parametrize("slope", SLOPES, ids=lambda slope: " - ".join(slope.key))
+def test_a_fit_is_that_of_its_points(slope):
+    assert fitted(slope.fit.form, slope.points) == slope.fit
+
+
+@pytest.mark.parametrize("slope", SLOPES, ids=lambda slope: " - ".join(slope.key))
+def test_a_slope_has_three_sizes_that_differ_tenfold_and_a_program_that_measured_it(slope):
+    sizes = sorted(size for size, _ in slope.points if size > 0)
+    assert len(sizes) >= 3
+    assert all(larger / smaller >= TENFOLD for smaller, larger in zip(sizes, sizes[1:], strict=False))
+    assert importlib.util.find_spec(slope.measured_by) is not None
+    assert slope.state in ("now", "after")
+
+
+def test_every_role_has_its_rows():
+    rows = render.all_rows(load_size(), SLOPES)
+    assert {row.role for row in rows} == {*gateway.ROLES, *control.ROLES}
+
+
+def test_without_slopes_every_row_stays_and_says_that_it_was_not_measured():
+    with_slopes, without = (render.all_rows(load_size(), found) for found in (SLOPES, []))
+    assert [(row.role, row.what) for row in without] == [(row.role, row.what) for row in with_slopes]
+    unmeasured = [row for row in without if row.ordinary is None and row.burst is None]
+    assert unmeasured and all(row.known == "**not measured**" for row in unmeasured)
+
+
+@pytest.mark.parametrize(
+    "form, coefficients",
+    [
+        ("constant", (5.0,)),
+        ("proportional", (2.5,)),
+        ("linear", (3.0, 0.5)),
+        ("n log n", (2.0, 0.25)),
+        ("quadratic", (4.0, 0.125)),
+    ],
+)
+def test_a_fit_finds_the_coefficients_of_exact_points(form, coefficients):
+    points = [
+        (size, sum(c * term(size) for c, term in zip(coefficients, FORMS[form], strict=True)))
+        for size in (20.0, 200.0, 2_000.0, 20_000.0)
+    ]
+    found = fitted(form, points)
+    assert found.coefficients == pytest.approx(coefficients, rel=1e-5) and found.worst_error == 0.0
+
+
+def test_a_cost_is_measured_between_or_extrapolated():
+    points = [(10.0, 100.0), (100.0, 1_000.0), (1_000.0, 10_000.0)]
+    slope = slopes_file.slope(
+        "proportional", points, role="r", what="w", size="s", unit="us", measured_by="m", text="compiled"
+    )
+    assert cost_at(slope, 100) == Figure(1_000.0, Known.MEASURED)
+    between, beyond = cost_at(slope, 50), cost_at(slope, 100_000)
+    assert (between.known, beyond.known) == (Known.BETWEEN, Known.EXTRAPOLATED)
+    assert (between.value, beyond.value) == pytest.approx((500.0, 1_000_000.0))
+    assert Costs([slope]).at("r", "nothing", 10) is None
+
+
+def test_a_row_is_as_far_over_as_its_larger_figure_and_as_well_known_as_its_worse():
+    row = Row(
+        role="r", what="w", unit="s", mechanism="m", ordinary=Figure(1.0, Known.MEASURED),
+        burst=Figure(12.0, Known.EXTRAPOLATED), budget=4.0,
+    )  # fmt: skip
+    assert row.factor == 3.0 and row.known == "**extrapolated**"
+    unmeasured = msgspec.structs.replace(row, ordinary=None, burst=None)
+    assert unmeasured.factor is None and unmeasured.known == "**not measured**"
+
+
+def test_merging_replaces_a_programs_own_rows_alone(tmp_path, capsys):
+    path = tmp_path / "slopes.json"
+    common = dict(role="r", size="s", unit="us", measured_by="m", text="compiled")
+    points = [(10.0, 1.0), (100.0, 2.0), (1_000.0, 3.0)]
+    first, second = (slopes_file.slope("linear", points, what=what, **common) for what in ("a", "b"))
+    slopes_file.merge([first, second], path)
+    slower = slopes_file.slope("linear", [(size, 2 * cost) for size, cost in points], what="a", **common)
+    slopes_file.merge([slower], path)
+    assert slopes_file.load(path) == [slower, second]
+    assert "r | a" in capsys.readouterr().out
