--- a/linenbridge/fleet/configuration.py
+++ b/linenbridge/fleet/configuration.py
@@ -10,15 +10,15 @@
 
 from lxml import etree
 
+from linenbridge.configuration.read import SPACE, Configuration, ConfigurationError, attributes, duration
 from linenbridge.fleet.errors import PlaceError
 from linenbridge.fleet.freezes.configuration import windows
 from linenbridge.fleet.freezes.windows import Window
-from linenbridge.fleet.leases.quorum import Council
+from linenbridge.fleet.leases.quorum import Quorum
 from linenbridge.fleet.leases.terms import Pace
 from linenbridge.net.discovery import host_port
-from linenbridge.configuration.read import SPACE, Configuration, ConfigurationError, attributes, duration
 
-SEATS = (3, 7)
+ACCEPTORS = (3, 7)
 RESTARTS = "restarts"  # the task whose places are the turns of planned restarts
 
 
@@ -48,15 +48,15 @@
     trusted: bool
     pace: Pace
     members: dict[str, tuple[str, int]]
-    council: Council
+    quorum: Quorum
     first_term: int
     errands: tuple[Errand, ...]
     restarts_within: int
     windows: tuple[Window, ...] = ()
 
-    def sits(self) -> bool:
-        """Whether this member has a seat on the council."""
-        return self.member in self.council.everyone()
+    def is_acceptor(self) -> bool:
+        """Whether this member is one of the acceptors."""
+        return self.member in self.quorum.everyone()
 
 
 def fleet(configuration: Configuration) -> FleetTold | None:
@@ -83,7 +83,9 @@
         if row.get("name") in members or row.get("name") == said["member"]:
             refuse(row, f"two members are named {row.get('name')}", "give each member a name of its own")
         members[row.get("name")] = host_port(row.get("address").replace("[", "").replace("]", ""))
-    council = _council(element.find(f"{SPACE}council"), said["member"], members, refuse)
+    row = element.find(f"{SPACE}council")
+    quorum = _quorum(row, said["member"], members, refuse)
+    first_term = int(attributes(row, "council")["first-term"])
     errands = list[Errand]()
     for row in element.iterchildren(f"{SPACE}task"):
         words = attributes(row, "task")
@@ -100,16 +102,15 @@
         errands.append(Errand(RESTARTS, int(words["at-once"]), None, 0))
     if wrong:
         raise ConfigurationError("\n".join(str(error) for error in wrong))
-    first_term = int(attributes(element.find(f"{SPACE}council"), "council")["first-term"])
     return FleetTold(
         said["member"], host_port(said["listen"].replace("[", "").replace("]", "")),
         configuration.beside(said["store"]),
-        said["store-never-goes-back"] in ("true", "1"), Pace(lease, longest, apart, beat), members, council,
+        said["store-never-goes-back"] in ("true", "1"), Pace(lease, longest, apart, beat), members, quorum,
         first_term, tuple(errands), within, windows(configuration.beside(said["freezes"])),
     )  # fmt: skip
 
 
-def _council(element: etree._Element, own: str, members: dict, refuse) -> Council:  # noqa: ANN001
+def _quorum(element: etree._Element, own: str, members: dict, refuse) -> Quorum:  # noqa: ANN001
     now, before, changes = list[str](), list[str](), 0
     for row in element.iterchildren(f"{SPACE}seat"):
         name, joins, leaves = (
@@ -120,7 +121,7 @@
         if name != own and name not in members:
             refuse(row, f"nobody is named {name}", "add the member with its address, or mend the name")
         if name in now or name in before:
-            refuse(row, f"{name} sits there already", "name each seat once")
+            refuse(row, f"{name} is an acceptor already", "name each acceptor once")
         if joins and leaves:
             refuse(row, f"{name} can't join and leave", "say one of the two")
         if not leaves:
@@ -129,10 +130,14 @@
             before.append(name)
     if changes > 1:
         refuse(
-            element, "two seats change at once", "change one seat, wait until all seats say `seat.returned`"
+            element,
+            "two acceptors change at once",
+            "change one acceptor, wait until all acceptors say `seat.returned`",
         )
-    if not SEATS[0] <= len(now) <= SEATS[1]:
+    if not ACCEPTORS[0] <= len(now) <= ACCEPTORS[1]:
         refuse(
-            element, f"a council has {SEATS[0]} to {SEATS[1]} seats, not {len(now)}", "add or remove seats"
+            element,
+            f"a quorum has {ACCEPTORS[0]} to {ACCEPTORS[1]} acceptors, not {len(now)}",
+            "add or remove acceptors",
         )
-    return Council(int(attributes(element, "council")["generation"]), tuple(now), tuple(before))
+    return Quorum(int(attributes(element, "council")["generation"]), tuple(now), tuple(before))
--- a/linenbridge/fleet/errors.py
+++ b/linenbridge/fleet/errors.py
@@ -13,6 +13,7 @@
     """`what` happened, `where` (a file's place, a member, a task), and `advice`, which each kind states."""
 
     advice: ClassVar[str] = ""
+    formerly: ClassVar[str] = ""  # a renamed kind's first name: the log goes on giving it as `kind`
 
     def __init__(self, what: str, where: str = "") -> None:
         super().__init__(what, where)
@@ -23,8 +24,12 @@
         return f"{place}{self.what}; {self.advice}"
 
     def fields(self) -> dict[str, str]:
-        """As plain data, for a line of the log."""
-        return {"kind": type(self).__name__, "what": self.what, "where": self.where, "do": self.advice}
+        """As plain data, for a line of the log. A renamed kind has its present name as `name` beside
+        `kind`."""
+        name = type(self).__name__
+        renamed = {"name": name} if self.formerly else {}
+        kind = self.formerly or name
+        return {"kind": kind, **renamed, "what": self.what, "where": self.where, "do": self.advice}
 
 
 class PlaceError(FleetError):
--- a/linenbridge/fleet/freezes/configuration.py
+++ b/linenbridge/fleet/freezes/configuration.py
@@ -11,11 +11,16 @@
 
 from lxml import etree
 
-from linenbridge.fleet.errors import PlaceError
-from linenbridge.fleet.freezes.windows import Window
 from linenbridge.configuration.read import (
-    SPACE, Configuration, ConfigurationError, attributes, duration, read,
+    SPACE,
+    Configuration,
+    ConfigurationError,
+    attributes,
+    duration,
+    read,
 )  # fmt: skip
+from linenbridge.fleet.errors import PlaceError
+from linenbridge.fleet.freezes.windows import Window
 
 
 class FreezesFileError(PlaceError):
--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -1,4 +1,4 @@
-"""Links between members: words over Twisted's AMP, one connection from each member to each seat.
+"""Links between members: words over Twisted's AMP, one connection from each member to each acceptor.
 
 Owns the connections and who is at their far ends. A peer that sends what is no word costs its own
 connection. It must never look into a word beyond its form, hold more than one connection's unsent words,
@@ -17,14 +17,14 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols import amp
 
-from linenbridge.fleet.leases.words import Word
+from linenbridge.fleet.leases.messages import Message
 from linenbridge.net.log import Log
 
 WORD_MOST = 60_000  # AMP's values end at 65,535 bytes
 UNSENT_MOST = 1 << 20  # of a peer that reads nothing; then its link is dropped
 CONNECT_WAIT, AGAIN_FROM, AGAIN_MOST = 5.0, 0.1, 2.0
 
-_encode, _decode = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Word)
+_encode, _decode = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
 
 class Meet(amp.Command):
@@ -110,20 +110,20 @@
             return None
         return Link(self)
 
-    def dial(self, seat: str, address: tuple[str, int]) -> None:
-        """Keep a link to a seat; it is taken up again after a while of chance, ever longer."""
-        if seat in self.dialled and self.dialled[seat][1] == address:
+    def dial(self, acceptor: str, address: tuple[str, int]) -> None:
+        """Keep a link to an acceptor; it is taken up again after a while of chance, ever longer."""
+        if acceptor in self.dialled and self.dialled[acceptor][1] == address:
             return
-        self.drop(seat)
+        self.drop(acceptor)
         endpoint = TCP4ClientEndpoint(self.reactor, *address, timeout=CONNECT_WAIT)
         policy = backoffPolicy(initialDelay=AGAIN_FROM, maxDelay=AGAIN_MOST)
         service = ClientService(endpoint, self, retryPolicy=policy, clock=self.reactor)
-        self.dialled[seat] = service, address
+        self.dialled[acceptor] = service, address
         service.startService()
 
-    def drop(self, seat: str) -> None:
-        if seat in self.dialled:
-            self.dialled.pop(seat)[0].stopService()
+    def drop(self, acceptor: str) -> None:
+        if acceptor in self.dialled:
+            self.dialled.pop(acceptor)[0].stopService()
 
     def met(self, link: Link) -> None:
         """The newest connection of a name is the one that is written to."""
@@ -150,8 +150,8 @@
         link.callRemote(Say, word=data)
 
     def close(self) -> None:
-        for seat in list(self.dialled):
-            self.drop(seat)
+        for acceptor in list(self.dialled):
+            self.drop(acceptor)
         for link in list(self.open):
             link.transport.loseConnection()
 
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -1,7 +1,7 @@
-"""One member of the fleet on a reactor: its asker, its seat where it has one, links, store, and acts.
+"""One member of the fleet on a reactor: its proposer, its acceptor where it has one, links, store, and acts.
 
-Owns the wiring and one timer for both cores. Promises are written by one thread in their order, and a seat's
-answer leaves after them. It must never decide: what a core says is carried out.
+Owns the wiring and one timer for both cores. Promises are written by one thread in their order, and an
+acceptor's answer leaves after them. It must never decide: what a core says is carried out.
 """
 
 from __future__ import annotations
@@ -13,15 +13,15 @@
 from twisted.internet.threads import deferToThreadPool
 from twisted.python.threadpool import ThreadPool
 
+from linenbridge.fleet.configuration import RESTARTS, FleetTold
 from linenbridge.fleet.errors import FleetError
 from linenbridge.fleet.hosting import clock
 from linenbridge.fleet.hosting.errands import Errands
 from linenbridge.fleet.hosting.freezes import Freezes
 from linenbridge.fleet.hosting.links import Links, later
-from linenbridge.fleet.leases.asker import Asker
-from linenbridge.fleet.leases.seat import Seat
-from linenbridge.fleet.leases.words import Recall, Round, Said, Table
-from linenbridge.fleet.configuration import RESTARTS, FleetTold
+from linenbridge.fleet.leases.acceptor import Acceptor
+from linenbridge.fleet.leases.messages import LeaseReply, LeaseRequest, RecoveryReply, RecoveryRequest
+from linenbridge.fleet.leases.proposer import Proposer
 from linenbridge.fleet.store.promises import promises
 from linenbridge.net.log import Log
 
@@ -39,26 +39,27 @@
         self.told, self.reactor, self.log = told, reactor, log
         self.name, self.life = f"{told.member}#{life:x}", life
         now = clock.now()
-        self.asker = Asker(self.name, told.council, told.pace, life, now)
-        self.seat: Seat | None = None
-        self.askers: dict[str, str] = {}  # by asker, the link that it was last heard on
+        self.proposer = Proposer(self.name, told.quorum, told.pace, life, now)
+        self.acceptor: Acceptor | None = None
+        self.proposers: dict[str, str] = {}  # by proposer, the link that it was last heard on
         self.disk = self.pool = self.timer = self.leaving = None
         self.gone = False
-        if told.sits():
-            self._sit(now, life)
+        if told.is_acceptor():
+            self._start_acceptor(now, life)
         self.links = Links(told.member, frozenset(told.members), reactor, log, self._hear)
         self.port = reactor.listenTCP(told.listen[1], self.links, interface=told.listen[0])
         self._dial()
         for errand in told.errands:
             if errand.task != RESTARTS:
-                self.asker.stand_for(now, errand.task, errand.places)
+                self.proposer.stand_for(now, errand.task, errand.places)
         self.freezes = Freezes(told.windows, reactor, log, held)
         self.errands = Errands(self.name, told.errands, reactor, log, self.holds)
-        log.event("member.started", member=told.member, life=f"{life:x}", seat=told.sits())
+        acceptor = told.is_acceptor()
+        log.event("member.started", member=told.member, life=f"{life:x}", acceptor=acceptor, seat=acceptor)
         self.turn()
 
-    def _sit(self, now: int, life: int) -> None:
-        """The store is read before anything is promised; one that can't be used leaves the seat aside."""
+    def _start_acceptor(self, now: int, life: int) -> None:
+        """The store is read before anything is promised; one that can't be used leaves the acceptor aside."""
         told, broken, kept = self.told, "", None
         try:
             self.disk = promises(told.store, told.member)
@@ -68,60 +69,60 @@
             self.log.event("store.failed", **error.fields())
             kept = promises("", told.member).read()
         number = Random(life).getrandbits(52)
-        self.seat = Seat(
-            told.member, told.council, told.pace, kept, now, told.first_term, told.trusted, number
+        self.acceptor = Acceptor(
+            told.member, told.quorum, told.pace, kept, now, told.first_term, told.trusted, number
         )
         if broken:
-            self.seat.on_store_failed(now, broken)
+            self.acceptor.on_store_failed(now, broken)
         self.pool = ThreadPool(1, 1, "promises")
         self.pool.start()
 
     def _dial(self) -> None:
-        for seat in self.told.council.everyone():
-            if seat != self.told.member:
-                self.links.dial(seat, self.told.members[seat])
-
-    # ---- words -------------------------------------------------------------------------------------
-
-    def _hear(self, far: str, word: Any) -> None:
-        """A word counts for whom its link is known as, whatever it says itself."""
-        now, seat = clock.now(), self.seat
-        if isinstance(word, Said):
-            if word.seat == far:
-                self.asker.on_said(now, word)
-        elif seat is not None and isinstance(word, Round):
-            if word.asker.partition("#")[0] == far:
-                self._heard_on(word.asker, far)
-                seat.on_round(now, word)
-        elif seat is not None and isinstance(word, Recall):
-            if word.seat == far:
-                seat.on_recall(now, word)
-        elif seat is not None and isinstance(word, Table) and word.seat == far:
-            seat.on_stamp(now, far, word.stamp)
-            seat.on_table(now, word)
+        for acceptor in self.told.quorum.everyone():
+            if acceptor != self.told.member:
+                self.links.dial(acceptor, self.told.members[acceptor])
+
+    # ---- messages ----------------------------------------------------------------------------------
+
+    def _hear(self, far: str, message: Any) -> None:
+        """A message counts for whom its link is known as, whatever sender it names."""
+        now, acceptor = clock.now(), self.acceptor
+        if isinstance(message, LeaseReply):
+            if message.acceptor == far:
+                self.proposer.on_reply(now, message)
+        elif acceptor is not None and isinstance(message, LeaseRequest):
+            if message.proposer.partition("#")[0] == far:
+                self._heard_on(message.proposer, far)
+                acceptor.on_request(now, message)
+        elif acceptor is not None and isinstance(message, RecoveryRequest):
+            if message.acceptor == far:
+                acceptor.on_recovery_request(now, message)
+        elif acceptor is not None and isinstance(message, RecoveryReply) and message.acceptor == far:
+            acceptor.on_stamp(now, far, message.stamp)
+            acceptor.on_recovery_reply(now, message)
         self.turn()
 
-    def _heard_on(self, asker: str, far: str) -> None:
-        """Where answers to an asker go; as many are kept as there are links, and some."""
-        if len(self.askers) > 4 * len(self.links.to) + 64:
-            self.askers = {name: link for name, link in self.askers.items() if link in self.links.to}
-        self.askers[asker] = far
+    def _heard_on(self, proposer: str, far: str) -> None:
+        """Where answers to a proposer go; as many are kept as there are links, and some."""
+        if len(self.proposers) > 4 * len(self.links.to) + 64:
+            self.proposers = {name: link for name, link in self.proposers.items() if link in self.links.to}
+        self.proposers[proposer] = far
 
-    def _say(self, to: str, word: Any) -> None:
+    def _say(self, to: str, message: Any) -> None:
         if to in (self.name, self.told.member):
-            later(self.reactor, self._hear, self.told.member, word)
+            later(self.reactor, self._hear, self.told.member, message)
         else:
-            self.links.say(self.askers.get(to, to), word)
+            self.links.say(self.proposers.get(to, to), message)
 
     # ---- turns -------------------------------------------------------------------------------------
 
     def turn(self) -> None:
         """Carry out what the cores say, and set the one timer."""
         now = clock.now()
-        for core in (self.asker, self.seat):
+        for core in (self.proposer, self.acceptor):
             while core is not None and (decision := core.next_decision(now)) is not None:
                 self._carry_out(decision)
-        wakes = [core.wake_at() for core in (self.asker, self.seat) if core is not None]
+        wakes = [core.wake_at() for core in (self.proposer, self.acceptor) if core is not None]
         at = min((wake for wake in wakes if wake is not None), default=None)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -142,33 +143,34 @@
             if kind == "held" and task == RESTARTS and self.leaving is not None:
                 self._go()
 
-    def _keep(self, rows: list[tuple], to: str, word: Any) -> None:
-        done = deferToThreadPool(self.reactor, self.pool, self.disk.keep, rows, self.seat.facts())
-        done.addCallbacks(lambda _: word is not None and self._say(to, word), self._not_kept)
+    def _keep(self, rows: list[tuple], to: str, message: Any) -> None:
+        done = deferToThreadPool(self.reactor, self.pool, self.disk.keep, rows, self.acceptor.facts())
+        done.addCallbacks(lambda _: message is not None and self._say(to, message), self._not_kept)
 
     def _not_kept(self, failure: Any) -> None:
-        self.seat.on_store_failed(clock.now(), failure.getErrorMessage())
+        self.acceptor.on_store_failed(clock.now(), failure.getErrorMessage())
         self.turn()
 
     # ---- what others ask ---------------------------------------------------------------------------
 
     def holds(self, task: str) -> tuple[int, int] | None:
         """Term and place under which this member may act on the task at this very moment."""
-        term = self.asker.may_act(clock.now(), task)
-        return None if term is None else (term, self.asker.holds[task].place)
+        term = self.proposer.may_act(clock.now(), task)
+        return None if term is None else (term, self.proposer.holds[task].place)
 
     def take_up(self, told: FleetTold) -> None:
-        """New settings: the council, and addresses. The rest counts from the next start."""
+        """New settings: the quorum, and addresses. The rest counts from the next start."""
         now = clock.now()
         self.told = told
-        self.asker.on_council(now, told.council)
-        if self.seat is not None:
-            self.seat.on_council(now, told.council)
-        elif told.sits():
-            self._sit(now, self.life)
+        self.proposer.on_quorum(now, told.quorum)
+        if self.acceptor is not None:
+            self.acceptor.on_quorum(now, told.quorum)
+        elif told.is_acceptor():
+            self._start_acceptor(now, self.life)
         self.links.known = frozenset(told.members)
-        for seat in [seat for seat in self.links.dialled if seat not in told.council.everyone()]:
-            self.links.drop(seat)
+        acceptors = told.quorum.everyone()
+        for former in [name for name in self.links.dialled if name not in acceptors]:
+            self.links.drop(former)
         self._dial()
         self.freezes.take_up(told.windows)
         self.turn()
@@ -182,7 +184,7 @@
         if not turns:
             self._go()
             return
-        self.asker.stand_for(clock.now(), RESTARTS, turns[0].places)
+        self.proposer.stand_for(clock.now(), RESTARTS, turns[0].places)
         self.reactor.callLater(self.told.restarts_within / 1e6, self._go)
         self.turn()
 
@@ -194,9 +196,9 @@
         self.errands.close()
         self.freezes.close()
         now = clock.now()
-        for task in list(self.asker.holds):
+        for task in list(self.proposer.holds):
             if task != RESTARTS:
-                self.asker.leave(now, task)
+                self.proposer.leave(now, task)
         self.turn()
         self.reactor.callLater(GOODBYE, self._close, gone)
 
@@ -211,9 +213,9 @@
 
     def facts(self) -> dict[str, int]:
         """For the counters' line."""
-        held = sum(self.holds(task) is not None for task in self.asker.holds)
+        held = sum(self.holds(task) is not None for task in self.proposer.holds)
         return {
             "links": len(self.links.to),
             "held": held,
-            "grants": int(bool(self.seat and self.seat.grants())),
+            "grants": int(bool(self.acceptor and self.acceptor.grants())),
         }
--- a/linenbridge/fleet/hosting/witness.py
+++ b/linenbridge/fleet/hosting/witness.py
@@ -8,10 +8,10 @@
 import secrets
 import sys
 
-from linenbridge.fleet.hosting.member import Member
+from linenbridge.configuration.read import Configuration, ConfigurationError, read
 from linenbridge.fleet.configuration import FleetTold, fleet
+from linenbridge.fleet.hosting.member import Member
 from linenbridge.logging.log import structured
-from linenbridge.configuration.read import Configuration, ConfigurationError, read
 from linenbridge.process import lifetime
 
 
@@ -46,4 +46,4 @@
         log.event("fleet.refused", error=str(error))
         return
     member.take_up(told)
-    log.event("fleet.reloaded", generation=told.council.generation)
+    log.event("fleet.reloaded", generation=told.quorum.generation)
--- a/linenbridge/fleet/leases/errors.py
+++ b/linenbridge/fleet/leases/errors.py
@@ -1,4 +1,4 @@
-"""What goes wrong with leases, and what seats refuse.
+"""What goes wrong with leases, and what acceptors refuse.
 
 Owns the words only. It must never decide when one of them applies.
 """
@@ -32,9 +32,12 @@
     advice = "set the same `lease` in the settings of all members"
 
 
-class SeatAside(Refusal):
+class AcceptorAside(Refusal):
     code = "aside"
-    advice = "wait for the longest lease after the seat's start; if it stays so, look at the seat's own log"
+    advice = (
+        "wait for the longest lease after the acceptor's start; "
+        "if it stays so, look at the acceptor's own log"
+    )
 
 
 class OtherGeneration(Refusal):
@@ -42,36 +45,41 @@
     advice = "hand the newer settings to all members and send each SIGHUP"
 
 
-class CouncilLost(LeaseError):
-    """No majority of the council answers: nothing is granted."""
+class QuorumLost(LeaseError):
+    """No majority of the quorum answers: nothing is granted."""
 
+    formerly = "CouncilLost"
     advice = (
-        "start the council's members that are down, or mend the links to them; tasks stay unheld until then"
+        "start the quorum's members that are down, or mend the links to them; tasks stay unheld until then"
     )
 
 
 class MemoryLost(LeaseError):
-    """A seat without memory can't hear enough others that have theirs."""
+    """An acceptor without memory can't hear enough others that have theirs."""
 
     advice = (
-        "start the other seats with their stores; if all stores are gone, set `first-term` above every term "
-        "that was ever used and start all seats anew"
+        "start the other acceptors with their stores; if all stores are gone, set `first-term` above every "
+        "term that was ever used and start all acceptors anew"
     )
 
 
 class DiskWentBack(LeaseError):
-    """A seat's store is older than what others have heard from it."""
+    """An acceptor's store is older than what others have heard from it."""
 
-    advice = "the seat stands aside and learns anew; find out who restored its store, and never restore one"
+    advice = (
+        "the acceptor stands aside and learns anew; find out who restored its store, and never restore one"
+    )
 
 
 class StoreUnusable(LeaseError):
-    """Promises can't be kept on disk: the seat grants nothing."""
+    """Promises can't be kept on disk: the acceptor grants nothing."""
 
-    advice = "give the store a disk that can be written, with room; the seat takes part again after a restart"
+    advice = (
+        "give the store a disk that can be written, with room; the acceptor takes part again after a restart"
+    )
 
 
 class StoreTorn(LeaseError):
     """The store can't be read whole."""
 
-    advice = "move the damaged file away and restart: the seat learns anew from the others"
+    advice = "move the damaged file away and restart: the acceptor learns anew from the others"
--- a/linenbridge/fleet/leases/guards.py
+++ b/linenbridge/fleet/leases/guards.py
@@ -1,4 +1,4 @@
-"""What one seat has granted: the newest term of each place, whose it is, and until when it is kept from
+"""What one acceptor has granted: the newest term of each place, whose it is, and until when it is kept from
 others.
 
 Keeps state without I/O. It must never forget a term, nor shorten what it keeps for a holder other than by the
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-from linenbridge.fleet.leases.words import Place
+from linenbridge.fleet.leases.messages import PlaceRecord
 
 Key = tuple[str, int]  # task and place
 
 
 class Guards:
-    """Parallel tables by (task, place). Times are on this seat's clock."""
+    """Parallel tables by (task, place). Times are on this acceptor's clock."""
 
     def __init__(self) -> None:
         self.term: dict[Key, int] = {}
@@ -47,8 +47,8 @@
         self.closed[key] = self.term[key]
         return True
 
-    def merge(self, place: Place, until: int) -> bool:
-        """What another seat remembers; the newer term counts, of the same one the later end."""
+    def merge(self, place: PlaceRecord, until: int) -> bool:
+        """What another acceptor remembers; the newer term counts, of the same one the later end."""
         key = (place.task, place.place)
         changed = place.closed > self.closed.get(key, 0)
         self.closed[key] = max(place.closed, self.closed.get(key, 0))
@@ -59,11 +59,11 @@
             self.until[key] = max(until, self.until.get(key, 0))
         return changed
 
-    def rows(self, now: int) -> list[Place]:
+    def rows(self, now: int) -> list[PlaceRecord]:
         """All places, in a lasting order."""
         keys = sorted(set(self.term) | set(self.closed))
         return [
-            Place(
+            PlaceRecord(
                 *key,
                 self.term.get(key, 0),
                 self.holder.get(key, ""),
--- a/linenbridge/fleet/leases/hold.py
+++ b/linenbridge/fleet/leases/hold.py
@@ -6,15 +6,15 @@
 from __future__ import annotations
 
 from linenbridge.fleet.leases.errors import HeldByAnother
-from linenbridge.fleet.leases.quorum import Council, supported_until
+from linenbridge.fleet.leases.messages import Rejected, TaskStatus
+from linenbridge.fleet.leases.quorum import Quorum, supported_until
 from linenbridge.fleet.leases.terms import Pace, acts_until
-from linenbridge.fleet.leases.words import No, Stands
 
 WAITING, TAKING, HOLDING, LEAVING = "waiting", "taking", "holding", "leaving"
 
 
 class Hold:
-    """`term` is held, `asked_term` asked for; `support` holds by seat the term it gave and when that was
+    """`term` is held, `asked_term` asked for; `support` holds by acceptor the term it gave and when that was
     asked."""
 
     def __init__(self, task: str, places: int, now: int) -> None:
@@ -24,36 +24,36 @@
         self.support: dict[str, tuple[int, int]] = {}
         self.against: set[str] = set()
         self.given: tuple[int, int] | None = None  # place and term that are not wanted any more
-        self.kept = 0  # until when a council before the present one keeps the place
+        self.kept = 0  # until when a quorum before the present one keeps the place
 
-    def yes(self, seat: str, term: int, asked: int) -> None:
-        self.support[seat] = max(self.support.get(seat, (0, 0)), (term, asked))
+    def yes(self, acceptor: str, term: int, asked: int) -> None:
+        self.support[acceptor] = max(self.support.get(acceptor, (0, 0)), (term, asked))
 
-    def refused(self, seat: str, no: No) -> None:
-        if (no.place, no.term) == (self.place, self.asked_term):
+    def rejected(self, acceptor: str, rejection: Rejected) -> None:
+        if (rejection.place, rejection.term) == (self.place, self.asked_term):
             if self.state == TAKING:
-                self.against.add(seat)
-            if no.code != HeldByAnother.code:
-                self.newest = max(self.newest, no.newest)
+                self.against.add(acceptor)
+            if rejection.code != HeldByAnother.code:
+                self.newest = max(self.newest, rejection.newest)
 
-    def until(self, council: Council, pace: Pace, term: int | None = None) -> int | None:
-        """When the term ends on this member's clock; None where no majority supports it. A seat that has
+    def until(self, quorum: Quorum, pace: Pace, term: int | None = None) -> int | None:
+        """When the term ends on this member's clock; None where no majority supports it. An acceptor that has
         given a newer one to this member keeps the place for it just so."""
         least = self.term if term is None else term
-        asked = {seat: at for seat, (given, at) in self.support.items() if given >= least}
-        since = supported_until(council, asked)
+        asked = {acceptor: at for acceptor, (given, at) in self.support.items() if given >= least}
+        since = supported_until(quorum, asked)
         until = self.kept if least == self.term else 0
         return max(until, acts_until(pace, since)) if since is not None else until or None
 
-    def fits(self, row: Stands) -> bool:
-        """Whether a seat's row speaks of as many places as this member's settings do."""
+    def fits(self, row: TaskStatus) -> bool:
+        """Whether an acceptor's row speaks of as many places as this member's settings do."""
         return row.task == self.task and len(row.terms) == len(row.left) == self.places
 
     def next_term(self) -> int:
-        """Where a seat knows a newer term of this place, the holder asks for one that is newer yet."""
+        """Where an acceptor knows a newer term of this place, the holder asks for one that is newer yet."""
         return self.asked_term if self.newest <= self.asked_term else self.newest + 1
 
-    def choose(self, rows: list[Stands], free: list[int], give_up: int) -> bool:
+    def choose(self, rows: list[TaskStatus], free: list[int], give_up: int) -> bool:
         """Take the free place that is this member's by its position in line, if there is one."""
         position = max(row.position for row in rows)
         if position >= len(free):
@@ -65,14 +65,14 @@
         self.from_at = give_up
         return True
 
-    def free_in(self, rows: list[Stands]) -> int | None:
-        """How long until a place is free at most seats, as they see it; None where none runs out soon."""
+    def free_in(self, rows: list[TaskStatus]) -> int | None:
+        """How long until a place is free at most acceptors, as they see it; None where none runs out soon."""
         ends = [sorted(row.left[place] for row in rows)[len(rows) // 2] for place in range(self.places)]
         soon = [end for end in ends if end > 0]
         return min(soon, default=None)
 
     def wait_again(self, at: int) -> None:
-        """What seats may have given meanwhile goes back to them."""
+        """What acceptors may have given meanwhile goes back to them."""
         self.given = (self.place, max(self.term, self.asked_term))
         self.state, self.from_at, self.support, self.kept = WAITING, at, {}, 0
 
--- a/linenbridge/fleet/leases/queues.py
+++ b/linenbridge/fleet/leases/queues.py
@@ -1,8 +1,8 @@
-"""Who waits for a task at one seat, in the order of tickets.
+"""Who waits for a task at one acceptor, in the order of tickets.
 
 Keeps state without I/O. A ticket is one above the newest that a majority knew when its member first asked,
-so every later one is behind it at some seat of each majority. It must never take a turn from a member that
-is heard.
+so every later one is behind it at some acceptor of each majority. It must never take a turn from a member
+that is heard.
 """
 
 from __future__ import annotations
@@ -65,7 +65,7 @@
             self.rows[task].leave(member)
 
     def meet(self, task: str, ticket: int) -> None:
-        """Another seat has seen a ticket."""
+        """Another acceptor has seen a ticket."""
         queue = self.of(task)
         queue.newest = max(ticket, queue.newest)
 
--- a/linenbridge/fleet/store/__init__.py
+++ b/linenbridge/fleet/store/__init__.py
@@ -1,1 +1,1 @@
-"""What outlives the process: a seat's promises."""
+"""What outlives the process: an acceptor's promises."""
--- a/linenbridge/fleet/store/promises.py
+++ b/linenbridge/fleet/store/promises.py
@@ -1,8 +1,8 @@
-"""A seat's promises on disk: one file of an embedded store (SQLite by `apsw`), written before the seat
-answers.
+"""An acceptor's promises on disk: one file of an embedded store (SQLite by `apsw`), written before the
+acceptor answers.
 
 Owns the file and every transaction on it; each row carries a sum over itself. It must never repair or guess:
-what can't be read whole is said, and the seat comes back as one without memory or not at all.
+what can't be read whole is said, and the acceptor comes back as one without memory or not at all.
 """
 
 from __future__ import annotations
@@ -13,9 +13,9 @@
 
 import apsw
 
+from linenbridge.fleet.leases.acceptor import Kept
 from linenbridge.fleet.leases.errors import StoreTorn, StoreUnusable
-from linenbridge.fleet.leases.seat import Kept
-from linenbridge.fleet.leases.words import Place
+from linenbridge.fleet.leases.messages import PlaceRecord
 
 FORM = 1
 LOST = (
@@ -35,10 +35,10 @@
 
 
 class Promises:
-    """One seat's file. Every call may raise StoreUnusable; `read` StoreTorn too."""
+    """One acceptor's file. Every call may raise StoreUnusable; `read` StoreTorn too."""
 
-    def __init__(self, path: str, seat: str) -> None:
-        self.path, self.seat = path, seat
+    def __init__(self, path: str, acceptor: str) -> None:
+        self.path, self.acceptor = path, acceptor
         try:
             self.connection = apsw.Connection(path)
             self.connection.set_busy_timeout(0)
@@ -69,13 +69,13 @@
                 self._do(f"pragma user_version={FORM}")
                 self.connection.execute(TABLES)
                 self._do("insert or replace into fact values ('opened', 1, ?)", (_sum("opened", 1),))
-            facts, places = dict[str, int](), list[Place]()
+            facts, places = dict[str, int](), list[PlaceRecord]()
             for name, value, found in self._do("select name, value, sum from fact order by name"):
                 self._whole(found, name, value)
                 facts[name] = value
             for *row, found in self._do("select * from place order by task, place"):
                 self._whole(found, *row)
-                places.append(Place(*row, 0))
+                places.append(PlaceRecord(*row, 0))
         except LOST as error:
             raise self._unusable(error) from None
         except apsw.Error as error:
@@ -106,7 +106,7 @@
 
 
 class NoPromises:
-    """Where a seat has no disk that lasts: it comes back as one without memory."""
+    """Where an acceptor has no disk that lasts: it comes back as one without memory."""
 
     def read(self) -> Kept:
         return Kept()
@@ -117,11 +117,11 @@
     def close(self) -> None: ...
 
 
-def promises(path: str, seat: str) -> Promises | NoPromises:
-    """The seat's store; "" is none."""
+def promises(path: str, acceptor: str) -> Promises | NoPromises:
+    """The acceptor's store; "" is none."""
     if not path:
         return NoPromises()
     folder = os.path.dirname(path)
     if folder and not os.path.isdir(folder):
         raise StoreUnusable(f"no folder {folder}", path)
-    return Promises(path, seat)
+    return Promises(path, acceptor)
--- a/tests/fleet/explore/leases.py
+++ b/tests/fleet/explore/leases.py
@@ -1,9 +1,9 @@
-"""The lease cores in a small world: three seats, two members that ask, every message's fate a choice.
+"""The lease cores in a small world: three acceptors, two members that ask, every message's fate a choice.
 
 Owns the network, the clocks, the stores and the pauses around real cores. A message is prompt, late by some
-ticks, lost, or comes twice; a process is cut off, wholly or one way, or hears late from then on; a seat
-starts anew with its store, without it or with an older one; a process is stopped for some ticks; an asker
-leaves; the council changes member by member. The checks read what members would do at the act, never a
+ticks, lost, or comes twice; a process is cut off, wholly or one way, or hears late from then on; an acceptor
+starts anew with its store, without it or with an older one; a process is stopped for some ticks; a proposer
+leaves; the quorum changes member by member. The checks read what members would do at the act, never a
 core's tables.
 """
 
@@ -11,11 +11,17 @@
 
 from dataclasses import dataclass
 
-from linenbridge.fleet.leases.asker import Asker
-from linenbridge.fleet.leases.quorum import Council
-from linenbridge.fleet.leases.seat import Kept, Seat
+from linenbridge.fleet.leases.acceptor import Acceptor, Kept
+from linenbridge.fleet.leases.messages import (
+    LeaseReply,
+    LeaseRequest,
+    PlaceRecord,
+    RecoveryReply,
+    RecoveryRequest,
+)
+from linenbridge.fleet.leases.proposer import Proposer
+from linenbridge.fleet.leases.quorum import Quorum
 from linenbridge.fleet.leases.terms import Pace
-from linenbridge.fleet.leases.words import Place, Recall, Round, Said, Table
 
 FAST, SLOW = 5, 4  # units of a process's clock in one tick of true time: a fifth apart, as the pace says
 PACE = Pace(length=40, longest=40, apart=200_000, beat=10)
@@ -32,11 +38,11 @@
     rates: tuple[tuple[str, int], ...] = ()
     faults: tuple[str, ...] = ("late", "lost", "twice", "kept", "blank", "stopped", "leave", "anew", "cut")
     from_tick: int = 0  # nothing goes wrong before
-    councils: tuple[Council, ...] = (Council(1, THREE, THREE),)
+    quorums: tuple[Quorum, ...] = (Quorum(1, THREE, THREE),)
     places: int = 1
-    askers: tuple[str, ...] = ("x", "y")
-    seat_kind: type[Seat] = Seat
-    asker_kind: type[Asker] = Asker
+    proposers: tuple[str, ...] = ("x", "y")
+    acceptor_kind: type[Acceptor] = Acceptor
+    proposer_kind: type[Proposer] = Proposer
 
 
 class Even:
@@ -52,41 +58,41 @@
 class LeaseWorld:
     def __init__(self, scenario: Scenario) -> None:
         self.scenario, self.left, self.tick, self.lives = scenario, scenario.deviations, 0, 1
-        first = scenario.councils[0]
-        self.rates = {name: FAST for name in first.everyone()} | {name: SLOW for name in scenario.askers}
+        first = scenario.quorums[0]
+        self.rates = {name: FAST for name in first.everyone()} | {name: SLOW for name in scenario.proposers}
         self.rates |= dict(scenario.rates)
         self.now_of = dict.fromkeys(self.rates, 1_000)
         self.disks: dict[str, list[Kept]] = {}
-        self.cores: dict[str, Seat | Asker] = {}
+        self.cores: dict[str, Acceptor | Proposer] = {}
         for name in first.everyone():
             kept = Kept(True, first.generation, 0, PACE.longest, ())
             self.disks[name] = [kept]
-            self.cores[name] = self._seat(name, first, kept, trusted=True)
-        for n, name in enumerate(scenario.askers):
-            self.cores[name] = self._asker(name, first, bool(n))
+            self.cores[name] = self._acceptor(name, first, kept, trusted=True)
+        for n, name in enumerate(scenario.proposers):
+            self.cores[name] = self._proposer(name, first, bool(n))
         self.flying: list[tuple[int, int, str, str, object]] = []
         self.posted: list[tuple[str, str, object]] = []
         self.stopped: dict[str, int] = {}
         self.cut: dict[str, str] = {}  # "cut", "deaf", "mute" or "slow", by process
         self.parted: set[tuple[str, str]] = set()
-        self.at_council = dict.fromkeys(self.cores, 0)
+        self.at_quorum = dict.fromkeys(self.cores, 0)
         self.count, self.newest_act, self.broken = 0, (0, ""), ""
         for name in list(self.cores):
             self._pump(name)
         self._run()
 
-    def _seat(self, name: str, council: Council, kept: Kept, trusted: bool) -> Seat:
+    def _acceptor(self, name: str, quorum: Quorum, kept: Kept, trusted: bool) -> Acceptor:
         self.lives += 1_000
-        return self.scenario.seat_kind(
-            name, council, PACE, kept, self.now_of.get(name, 1_000), trusted=trusted, life=self.lives
+        return self.scenario.acceptor_kind(
+            name, quorum, PACE, kept, self.now_of.get(name, 1_000), trusted=trusted, life=self.lives
         )
 
-    def _asker(self, name: str, council: Council, most: bool) -> Asker:
+    def _proposer(self, name: str, quorum: Quorum, most: bool) -> Proposer:
         self.lives += 1_000
-        asker = self.scenario.asker_kind(f"{name}#{self.lives}", council, PACE, 0, self.now_of[name])
-        asker.random = Even(most)
-        asker.stand_for(self.now_of[name], "task", self.scenario.places)
-        return asker
+        proposer = self.scenario.proposer_kind(f"{name}#{self.lives}", quorum, PACE, 0, self.now_of[name])
+        proposer.random = Even(most)
+        proposer.stand_for(self.now_of[name], "task", self.scenario.places)
+        return proposer
 
     # ---- what the search asks ----------------------------------------------------------------------
 
@@ -99,46 +105,50 @@
     def choices(self) -> list[str]:
         faults = self.scenario.faults if self.tick >= self.scenario.from_tick else ()
         if self.posted:
-            sender, to, word = self.posted[0]
-            kind = f"{type(word).__name__} {sender}>{to} at {self.tick}"
+            sender, to, message = self.posted[0]
+            kind = f"{type(message).__name__} {sender}>{to} at {self.tick}"
             late = [f"late {ticks} {kind}" for ticks in LATE] if "late" in faults else []
             lost = [f"lost {kind}"] if "lost" in faults else []
             return ["prompt", *late, *lost, *([f"twice {kind}"] if "twice" in faults else [])]
         found = ["on"]
-        seats = [name for name, core in self.cores.items() if isinstance(core, Seat)]
-        askers = [name for name, core in self.cores.items() if isinstance(core, Asker)]
+        acceptors = [name for name, core in self.cores.items() if isinstance(core, Acceptor)]
+        proposers = [name for name, core in self.cores.items() if isinstance(core, Proposer)]
         for kind in ("kept", "blank", "older"):
-            found += [f"{kind} {name} at {self.tick}" for name in seats if kind in faults]
+            found += [f"{kind} {name} at {self.tick}" for name in acceptors if kind in faults]
         for kind in ("leave", "anew"):
-            found += [f"{kind} {name} at {self.tick}" for name in askers if kind in faults]
+            found += [f"{kind} {name} at {self.tick}" for name in proposers if kind in faults]
         if "stopped" in faults:
             found += [
                 f"stopped {n} {name} at {self.tick}"
-                for name in (*seats, *askers) if name not in self.stopped for n in STOPPED
+                for name in (*acceptors, *proposers) if name not in self.stopped for n in STOPPED
             ]  # fmt: skip
         if "cut" in faults:
-            kinds = [(kind, name) for name in (*seats, *askers) for kind in ("cut", "deaf", "mute", "slow")]
+            kinds = [
+                (kind, name) for name in (*acceptors, *proposers) for kind in ("cut", "deaf", "mute", "slow")
+            ]
             found += [f"{kind} {name} at {self.tick}" for kind, name in kinds if name not in self.cut]
         if "part" in faults:
-            pairs = [(one, other) for one in askers for other in seats if (one, other) not in self.parted]
+            pairs = [
+                (one, other) for one in proposers for other in acceptors if (one, other) not in self.parted
+            ]
             found += [f"part {one} {other} at {self.tick}" for one, other in pairs]
         if "mend" in faults:
             found += [f"mend {name} at {self.tick}" for name in self.cut]
-        if "council" in faults:
-            most = len(self.scenario.councils) - 1
-            found += [f"council {name} at {self.tick}" for name, n in self.at_council.items() if n < most]
+        if "quorum" in faults:
+            most = len(self.scenario.quorums) - 1
+            found += [f"quorum {name} at {self.tick}" for name, n in self.at_quorum.items() if n < most]
         return found
 
     def take(self, choice: str) -> None:
         kind, *words = choice.split()
         if self.posted:
-            sender, to, word = self.posted.pop(0)
+            sender, to, message = self.posted.pop(0)
             if kind in ("prompt", "twice"):
-                self._fly(self.tick, sender, to, word)
+                self._fly(self.tick, sender, to, message)
             if kind == "twice":
-                self._fly(self.tick + 5, sender, to, word)
+                self._fly(self.tick + 5, sender, to, message)
             if kind == "late":
-                self._fly(self.tick + int(words[0]), sender, to, word)
+                self._fly(self.tick + int(words[0]), sender, to, message)
         elif kind == "stopped":
             self.stopped[words[1]] = self.tick + int(words[0])
         elif kind in ("cut", "deaf", "mute", "slow"):
@@ -147,14 +157,14 @@
             self.parted.add((words[0], words[1]))
         elif kind == "mend":
             del self.cut[words[0]]
-        elif kind == "council":
-            self._council(words[0])
+        elif kind == "quorum":
+            self._quorum(words[0])
         elif kind == "leave":
             self.cores[words[0]].leave(self.now_of[words[0]], "task")
             self._pump(words[0])
         elif kind == "anew":
-            asker = self.cores[words[0]]
-            self.cores[words[0]] = self._asker(words[0], asker.council, asker.random.most)
+            proposer = self.cores[words[0]]
+            self.cores[words[0]] = self._proposer(words[0], proposer.quorum, proposer.random.most)
             self._pump(words[0])
         elif kind in ("kept", "blank", "older"):
             self._restart(words[0], kind)
@@ -164,35 +174,35 @@
 
     # ---- the world ---------------------------------------------------------------------------------
 
-    def _fly(self, tick: int, sender: str, to: str, word: object) -> None:
+    def _fly(self, tick: int, sender: str, to: str, message: object) -> None:
         if self.cut.get(sender) in ("cut", "mute") or self.cut.get(to) in ("cut", "deaf"):
             return
         if (sender, to) in self.parted or (to, sender) in self.parted:
             return
         tick += BEHIND * (self.cut.get(to) == "slow")
         self.count += 1
-        self.flying.append((tick, self.count, sender, to, word))
+        self.flying.append((tick, self.count, sender, to, message))
 
     def _restart(self, name: str, kind: str) -> None:
         history = self.disks[name]
         kept = {"kept": history[-1], "blank": Kept(), "older": history[0]}[kind]
         if kind != "kept":
             history[:] = [kept]
-        self.cores[name] = self._seat(name, self.cores[name].council, kept, trusted=False)
+        self.cores[name] = self._acceptor(name, self.cores[name].quorum, kept, trusted=False)
         self._pump(name)
 
-    def _council(self, name: str) -> None:
-        self.at_council[name] += 1
-        council = self.scenario.councils[self.at_council[name]]
-        for seat in council.everyone():
-            if seat not in self.cores:
-                self.rates.setdefault(seat, FAST)
-                self.now_of[seat] = 1_000
-                self.disks[seat] = [Kept()]
-                self.cores[seat] = self._seat(seat, council, Kept(), trusted=False)
-                self.at_council[seat] = self.at_council[name]
-                self._pump(seat)
-        self.cores[name].on_council(self.now_of[name], council)
+    def _quorum(self, name: str) -> None:
+        self.at_quorum[name] += 1
+        quorum = self.scenario.quorums[self.at_quorum[name]]
+        for acceptor in quorum.everyone():
+            if acceptor not in self.cores:
+                self.rates.setdefault(acceptor, FAST)
+                self.now_of[acceptor] = 1_000
+                self.disks[acceptor] = [Kept()]
+                self.cores[acceptor] = self._acceptor(acceptor, quorum, Kept(), trusted=False)
+                self.at_quorum[acceptor] = self.at_quorum[name]
+                self._pump(acceptor)
+        self.cores[name].on_quorum(self.now_of[name], quorum)
         self._pump(name)
 
     def _tick(self) -> None:
@@ -219,19 +229,19 @@
             self.flying.remove(row)
             self._deliver(row[2], row[3], row[4])
 
-    def _deliver(self, sender: str, to: str, word: object) -> None:
+    def _deliver(self, sender: str, to: str, message: object) -> None:
         core = self.cores.get(to)
         if core is None:
             return
         now = self.now_of[to]
-        if isinstance(word, Round):
-            core.on_round(now, word)
-        elif isinstance(word, Recall):
-            core.on_recall(now, word)
-        elif isinstance(word, Table):
-            core.on_table(now, word)
-        elif isinstance(word, Said):
-            core.on_said(now, word)
+        if isinstance(message, LeaseRequest):
+            core.on_request(now, message)
+        elif isinstance(message, RecoveryRequest):
+            core.on_recovery_request(now, message)
+        elif isinstance(message, RecoveryReply):
+            core.on_recovery_reply(now, message)
+        elif isinstance(message, LeaseReply):
+            core.on_reply(now, message)
         self._pump(to)
         self._check()
 
@@ -248,12 +258,12 @@
                 if decision[3] is not None:
                     self.posted.append((name, decision[2].partition("#")[0], decision[3]))
 
-    def _keep(self, name: str, seat: Seat, rows: list[tuple]) -> None:
+    def _keep(self, name: str, acceptor: Acceptor, rows: list[tuple]) -> None:
         before = self.disks[name][-1]
         places = {(place.task, place.place): place for place in before.places}
         for task, place, term, holder, closed in rows:
-            places[task, place] = Place(task, place, term, holder, closed, 0)
-        facts = seat.facts()
+            places[task, place] = PlaceRecord(task, place, term, holder, closed, 0)
+        facts = acceptor.facts()
         self.disks[name].append(
             Kept(
                 bool(facts["remembers"]), facts["settled"], facts["stamp"], facts["longest"],
@@ -266,7 +276,7 @@
         """At this very moment: who may act, and under which terms."""
         acting = []
         for name, core in self.cores.items():
-            if isinstance(core, Asker) and name not in self.stopped:
+            if isinstance(core, Proposer) and name not in self.stopped:
                 term = core.may_act(self.now_of[name], "task")
                 if term is not None:
                     acting.append((name, core.holds["task"].place, term))
--- a/tests/fleet/explore/mutants.py
+++ b/tests/fleet/explore/mutants.py
@@ -9,24 +9,24 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from linenbridge.fleet.leases import asker, errors, guards, hold, quorum, returning, seat
+from linenbridge.fleet.leases import acceptor, errors, guards, hold, proposer, quorum, returning
 
 
 @contextmanager
 def counts_from_the_answer() -> Iterator[None]:
-    """The holder counts its lease from when a seat answered, not from when it asked."""
-    taken = asker.Asker._taken
+    """The holder counts its lease from when an acceptor answered, not from when it asked."""
+    taken = proposer.Proposer._taken
 
     def late(self, now, held, name, place, term, asked):
         return taken(self, now, held, name, place, term, now)
 
-    with patch.object(asker.Asker, "_taken", late):
+    with patch.object(proposer.Proposer, "_on_granted", late):
         yield
 
 
 @contextmanager
 def forgets_the_clocks() -> Iterator[None]:
-    """The holder trusts its clock to run as fast as the seats'."""
+    """The holder trusts its clock to run as fast as the acceptors'."""
     with patch.object(hold, "acts_until", lambda pace, asked: asked + pace.length):
         yield
 
@@ -39,28 +39,28 @@
         held = self.holds.get(task)
         return held.term if held is not None and held.state == hold.HOLDING else None
 
-    with patch.object(asker.Asker, "may_act", may_act):
+    with patch.object(proposer.Proposer, "may_act", may_act):
         yield
 
 
 @contextmanager
 def half_is_enough() -> Iterator[None]:
-    """One seat fewer than a majority carries."""
-    with patch.object(quorum, "majority", lambda seats: max(1, len(seats) // 2)):
+    """One acceptor fewer than a majority carries."""
+    with patch.object(quorum, "majority", lambda acceptors: max(1, len(acceptors) // 2)):
         yield
 
 
 @contextmanager
 def grants_what_is_held() -> Iterator[None]:
-    """The seat does not keep a place for its holder."""
+    """The acceptor does not keep a place for its holder."""
     with patch.object(guards.Guards, "left", lambda self, key, now: 0):
         yield
 
 
 @contextmanager
 def grants_any_term() -> Iterator[None]:
-    """The seat grants terms that are not newer than what it knows."""
-    plain = seat.Seat._refusal
+    """The acceptor grants terms that are not newer than what it knows."""
+    plain = acceptor.Acceptor._refusal
 
     def lax(self, now, name, take):
         found = plain(self, now, name, take)
@@ -74,20 +74,20 @@
             self.asked_term = 1
         return found
 
-    with patch.object(seat.Seat, "_refusal", lax), patch.object(hold.Hold, "choose", first):
+    with patch.object(acceptor.Acceptor, "_refusal", lax), patch.object(hold.Hold, "choose", first):
         yield
 
 
 @contextmanager
 def does_not_stand_aside() -> Iterator[None]:
-    """A seat that starts anew does not let the longest lease run out."""
+    """An acceptor that starts anew does not let the longest lease run out."""
     with patch.object(returning, "stands_aside", lambda pace: 0):
         yield
 
 
 @contextmanager
 def returns_alone() -> Iterator[None]:
-    """A seat that starts anew hears nobody, and grants at once."""
+    """An acceptor that starts anew hears nobody, and grants at once."""
     with (
         patch.object(returning, "stands_aside", lambda pace: 0),
         patch.object(returning.Returning, "_grounds", lambda self: "recalled"),
@@ -97,17 +97,17 @@
 
 @contextmanager
 def learns_no_terms() -> Iterator[None]:
-    """A seat that comes back takes in nothing of what the others remember."""
+    """An acceptor that comes back takes in nothing of what the others remember."""
     with patch.object(guards.Guards, "merge", lambda self, place, until: False):
         yield
 
 
 @contextmanager
 def moves_without_settling() -> Iterator[None]:
-    """A seat grants under a new council at once, without hearing the old one."""
+    """An acceptor grants under a new quorum at once, without hearing the old one."""
 
-    def moves(self, now, council):
-        self.council, self.settled = council, council.generation
+    def moves(self, now, quorum):
+        self.quorum, self.settled = quorum, quorum.generation
 
     with patch.object(returning.Returning, "moves", moves):
         yield
@@ -115,12 +115,12 @@
 
 @contextmanager
 def answers_any_generation() -> Iterator[None]:
-    """A seat grants to askers that count by another council."""
+    """An acceptor grants to proposers that count by another quorum."""
 
     def aside(self, word):
-        return errors.SeatAside.code if self.broken or not self.returning.done else ""
+        return errors.AcceptorAside.code if self.broken or not self.returning.done else ""
 
-    with patch.object(seat.Seat, "_aside", aside):
+    with patch.object(acceptor.Acceptor, "_aside", aside):
         yield
 
 
--- a/tests/fleet/explore/schedules.py
+++ b/tests/fleet/explore/schedules.py
@@ -6,26 +6,26 @@
 
 from __future__ import annotations
 
-from linenbridge.fleet.leases.quorum import Council
+from linenbridge.fleet.leases.quorum import Quorum
 from tests.fleet.explore.leases import THREE, Scenario
 
 FIVE = (*THREE, "d", "e")
 GROWS = (
-    Council(1, THREE, THREE),
-    Council(2, (*THREE, "d"), THREE),
-    Council(3, FIVE, (*THREE, "d")),
-    Council(4, (*FIVE, "f"), FIVE),
+    Quorum(1, THREE, THREE),
+    Quorum(2, (*THREE, "d"), THREE),
+    Quorum(3, FIVE, (*THREE, "d")),
+    Quorum(4, (*FIVE, "f"), FIVE),
 )
 
 # x's ask is under way to c when a, which has said yes, loses its memory; y finds a and b free.
 FORGETS_UNDER_AN_ASK = (
     Scenario(ticks=12),
     [
-        "lost Round x>b",
-        *["lost Round y"] * 3,
-        "lost Round x>b",
-        "lost Round x>b",
-        "late 1 Round x>c",
+        "lost LeaseRequest x>b",
+        *["lost LeaseRequest y"] * 3,
+        "lost LeaseRequest x>b",
+        "lost LeaseRequest x>b",
+        "late 1 LeaseRequest x>c",
         "blank a",
         "anew y",
     ],
@@ -33,25 +33,25 @@
 # a and b know term 1; a loses its memory and comes back, b is cut off, y asks a and c.
 TERM_AFTER_MEMORY = (
     Scenario(ticks=40, faults=(*Scenario.faults, "mend")),
-    [*["lost Round x>c"] * 3, "cut y", "leave x at 1", "blank a at 2", "cut b at 14", "mend y at 15"],
+    [*["lost LeaseRequest x>c"] * 3, "cut y", "leave x at 1", "blank a at 2", "cut b at 14", "mend y at 15"],
 )
-# x holds by c, d and e of five; a and b are told of the council of two that comes three changes later.
-COUNCIL_SKIPS = (
+# x holds by c, d and e of five; a and b are told of the quorum of two that comes three changes later.
+QUORUM_SKIPS = (
     Scenario(
-        ticks=12, faults=(*Scenario.faults, "council"),
-        councils=(Council(1, FIVE, FIVE), Council(4, ("a", "b"), THREE)),
+        ticks=12, faults=(*Scenario.faults, "quorum"),
+        quorums=(Quorum(1, FIVE, FIVE), Quorum(4, ("a", "b"), THREE)),
     ),
-    [*["lost Round x>a", "lost Round x>b"] * 3, "council a", "council b", "council y"],
+    [*["lost LeaseRequest x>a", "lost LeaseRequest x>b"] * 3, "quorum a", "quorum b", "quorum y"],
 )  # fmt: skip
-# The seats have gone from three to six, one by one; x still counts by the three.
+# The acceptors have gone from three to six, one by one; x still counts by the three.
 OLD_COUNT = (
-    Scenario(ticks=70, faults=(*Scenario.faults, "part", "mend", "council"), councils=GROWS),
+    Scenario(ticks=70, faults=(*Scenario.faults, "part", "mend", "quorum"), quorums=GROWS),
     [
         "cut x at 0", "cut y at 0",
-        *[f"council {seat} at 1" for seat in "abc"],
-        *[f"council {seat} at 16" for seat in "abcd"],
-        *[f"council {seat} at 30" for seat in "abcde"],
-        "council y", "council y", "council y",
+        *[f"quorum {acceptor} at 1" for acceptor in "abc"],
+        *[f"quorum {acceptor} at 16" for acceptor in "abcd"],
+        *[f"quorum {acceptor} at 30" for acceptor in "abcde"],
+        "quorum y", "quorum y", "quorum y",
         "part x c at 46", "part y a at 46", "part y b at 46", "mend x at 46", "mend y at 46",
     ],
 )  # fmt: skip
@@ -67,12 +67,15 @@
     "counts_from_the_answer": HEARS_LATE,
     "forgets_the_clocks": HEARD_NO_MORE,
     "acts_without_a_look_at_the_clock": WAKES,
-    "half_is_enough": (Scenario(ticks=12), ["lost Round x>c", "lost Round x>c", "lost Round x>c"]),
+    "half_is_enough": (
+        Scenario(ticks=12),
+        ["lost LeaseRequest x>c", "lost LeaseRequest x>c", "lost LeaseRequest x>c"],
+    ),
     "grants_what_is_held": (Scenario(ticks=12), []),
     "grants_any_term": (Scenario(ticks=40), ["leave x at 26"]),
     "returns_alone": (Scenario(ticks=40), ["blank c at 26", "blank b at 26"]),
     "does_not_stand_aside": FORGETS_UNDER_AN_ASK,
     "learns_no_terms": TERM_AFTER_MEMORY,
-    "moves_without_settling": COUNCIL_SKIPS,
+    "moves_without_settling": QUORUM_SKIPS,
     "answers_any_generation": OLD_COUNT,
 }
--- a/tests/fleet/explore/test_leases.py
+++ b/tests/fleet/explore/test_leases.py
@@ -9,10 +9,10 @@
 from tests.fleet.explore.schedules import DEEP, GROWS
 from tests.fleet.explore.search import follow, search, wander
 
-SLOW_SEATS = (("x", FAST), ("y", FAST), ("a", SLOW), ("b", SLOW), ("c", SLOW))
+SLOW_ACCEPTORS = (("x", FAST), ("y", FAST), ("a", SLOW), ("b", SLOW), ("c", SLOW))
 WHOLE = {
-    "any one fault, fast seats": Scenario(1, ticks=24),
-    "any one fault, fast askers": Scenario(1, ticks=24, rates=SLOW_SEATS),
+    "any one fault, fast acceptors": Scenario(1, ticks=24),
+    "any one fault, fast proposers": Scenario(1, ticks=24, rates=SLOW_ACCEPTORS),
     "any one fault, two places": Scenario(1, ticks=24, places=2),
     "any two faults at the start": Scenario(2, ticks=2),
 }
@@ -33,12 +33,12 @@
     assert found.breach is None
 
 
-def test_no_walk_through_changes_of_the_council_breaks_a_lease():
-    """Three changes, handed to each process at another moment, with seats parted, blank and stopped."""
-    faults = ("council", "council", "part", "lost", "late", "blank", "stopped")
-    scenario = Scenario(22, ticks=50, faults=faults, councils=GROWS)
+def test_no_walk_through_changes_of_the_quorum_breaks_a_lease():
+    """Three changes, handed to each process at another moment, with acceptors parted, blank and stopped."""
+    faults = ("quorum", "quorum", "part", "lost", "late", "blank", "stopped")
+    scenario = Scenario(22, ticks=50, faults=faults, quorums=GROWS)
     found = wander(lambda: LeaseWorld(scenario), 250, seed=3, odds=0.12)
-    print(found.line("walks through three changes of the council"))
+    print(found.line("walks through three changes of the quorum"))
     assert found.breach is None
 
 
--- a/tests/fleet/freezes/test_holds.py
+++ b/tests/fleet/freezes/test_holds.py
@@ -9,13 +9,13 @@
 
 from linenbridge import interface as face
 from linenbridge.choice import Choice
-from linenbridge.fleet.freezes.holds import Holds
+from linenbridge.configuration.read import ConfigurationError
 from linenbridge.fleet.freezes.configuration import windows
+from linenbridge.fleet.freezes.holds import Holds
 from linenbridge.fleet.freezes.windows import Window
 from linenbridge.interface import SECOND
-from linenbridge.configuration.read import ConfigurationError
-from tests.helpers import MS, entry, pull, running, startup
 from tests.choice.helpers import fail_trial, outcome
+from tests.helpers import MS, entry, pull, running, startup
 
 START = datetime(2026, 12, 8, 2)
 NOW = int(START.replace(tzinfo=UTC).timestamp()) * SECOND
--- a/tests/fleet/procs/installation.py
+++ b/tests/fleet/procs/installation.py
@@ -32,12 +32,12 @@
 
 
 class Installation:
-    """`members` in order; the first `seats` sit on the council."""
+    """`members` in order; the first `acceptors` sit on the quorum."""
 
     def __init__(
-        self, folder: Path, members: list[str], seats: int = 3, rates: dict[str, float] | None = None
+        self, folder: Path, members: list[str], acceptors: int = 3, rates: dict[str, float] | None = None
     ):
-        self.folder, self.members, self.seats = folder, members, members[:seats]
+        self.folder, self.members, self.acceptors = folder, members, members[:acceptors]
         self.rates = rates or {}
         self.ports = dict(zip(members, free_ports(len(members)), strict=True))
         self.links, self.resource = StandinLinks(), StandinResource()
@@ -50,9 +50,9 @@
     async def open(self) -> None:
         await self.resource.open()
         for member in self.members:
-            for seat in self.seats:
-                if seat != member:
-                    await self.links.open(member, seat, self.ports[seat])
+            for acceptor in self.acceptors:
+                if acceptor != member:
+                    await self.links.open(member, acceptor, self.ports[acceptor])
             self.write(member)
 
     def write(self, member: str) -> None:
@@ -60,12 +60,12 @@
             f'<member name="{other}" address="127.0.0.1:{self.links.ports.get((member, other), 9)}"/>'
             for other in self.members if other != member
         )  # fmt: skip
-        seats = "".join(f'<seat name="{seat}"/>' for seat in self.seats)
+        acceptors = "".join(f'<seat name="{acceptor}"/>' for acceptor in self.acceptors)
         (self.folder / f"{member}.xml").write_text(
             f'<linenbridge xmlns="urn:linenbridge:premises:1">\n<fleet member="{member}" '
             f'listen="127.0.0.1:{self.ports[member]}" store="{member}.db" lease="{int(LEASE * 1000)}ms" '
             f'longest="{int(LEASE * 1000)}ms" beat="{int(BEAT * 1000)}ms">{others}\n'
-            f'<council>{seats}</council>\n<task name="sweep" act="127.0.0.1:{self.resource.port}" '
+            f'<council>{acceptors}</council>\n<task name="sweep" act="127.0.0.1:{self.resource.port}" '
             f'every="30ms"/>\n</fleet></linenbridge>'
         )
 
@@ -125,9 +125,9 @@
                     raise TimeoutError(f"{member} did not start within {wait:.0f} s")
                 await asyncio.sleep(0.05)
 
-    async def returned(self, seat: str, wait: float) -> bool:
-        """Whether a seat says within that time that it grants again, after its last start."""
-        end, log = time.monotonic() + wait, self.folder / f"{seat}.log"
+    async def returned(self, acceptor: str, wait: float) -> bool:
+        """Whether an acceptor says within that time that it grants again, after its last start."""
+        end, log = time.monotonic() + wait, self.folder / f"{acceptor}.log"
         while (text := log.read_text()).rfind('"seat.returned"') < text.rfind('"member.started"'):
             if time.monotonic() > end:
                 return False
--- a/tests/fleet/procs/standin_links.py
+++ b/tests/fleet/procs/standin_links.py
@@ -12,7 +12,7 @@
 
 @dataclass
 class Pair:
-    """From a member that dials to the seat it dials. `late` in seconds; `shut` names the ways that are
+    """From a member that dials to the acceptor it dials. `late` in seconds; `shut` names the ways that are
     cut."""
 
     late: float = 0.0
@@ -22,7 +22,7 @@
 
 
 class StandinLinks:
-    """Runs on the test's own loop. `ports[dialler, seat]` is where the dialler is told that the seat
+    """Runs on the test's own loop. `ports[dialler, acceptor]` is where the dialler is told that the acceptor
     listens."""
 
     def __init__(self) -> None:
@@ -31,8 +31,8 @@
         self.servers: list[asyncio.Server] = []
         self.faults = 0
 
-    async def open(self, dialler: str, seat: str, port: int) -> None:
-        pair = self.pairs[dialler, seat] = Pair()
+    async def open(self, dialler: str, acceptor: str, port: int) -> None:
+        pair = self.pairs[dialler, acceptor] = Pair()
 
         async def came(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
@@ -49,7 +49,7 @@
 
         server = await asyncio.start_server(came, "127.0.0.1", 0)
         self.servers.append(server)
-        self.ports[dialler, seat] = server.sockets[0].getsockname()[1]
+        self.ports[dialler, acceptor] = server.sockets[0].getsockname()[1]
 
     async def _carry(
         self, pair: Pair, way: str, one: asyncio.StreamReader, other: asyncio.StreamWriter
--- a/tests/fleet/procs/test_changes.py
+++ b/tests/fleet/procs/test_changes.py
@@ -1,4 +1,4 @@
-"""The council changes and members end in order, between processes: nobody acts beside another."""
+"""The quorum changes and members end in order, between processes: nobody acts beside another."""
 
 from __future__ import annotations
 
@@ -29,33 +29,35 @@
     return False
 
 
-def settled(fleet: Installation, generation: int, *seats: str) -> bool:
+def settled(fleet: Installation, generation: int, *acceptors: str) -> bool:
     return all(
-        any(row["generation"] == generation for row in lines(fleet, seat, "seat.returned")) for seat in seats
+        any(row["generation"] == generation for row in lines(fleet, acceptor, "seat.returned"))
+        for acceptor in acceptors
     )
 
 
-def hand_out(fleet: Installation, generation: int, seats: str) -> None:
+def hand_out(fleet: Installation, generation: int, acceptors: str) -> None:
     """New settings for all members; each is sent SIGHUP, one after the other."""
     for member in fleet.members:
         file = fleet.folder / f"{member}.xml"
         text = file.read_text()
         begin, end = text.index("<council"), text.index("</council>")
-        file.write_text(f'{text[:begin]}<council generation="{generation}">{seats}{text[end:]}')
+        file.write_text(f'{text[:begin]}<council generation="{generation}">{acceptors}{text[end:]}')
         fleet.running[member].send_signal(signal.SIGHUP)
 
 
 async def grows(fleet: Installation) -> None:
-    """From three seats to four and back to three others, while one holds and one is cut off for a while."""
+    """From three acceptors to four and back to three others, while one holds and one is cut off for a
+    while."""
     for member in MEMBERS:
-        for seat in MEMBERS:
-            if seat != member and (member, seat) not in fleet.links.ports:
-                await fleet.links.open(member, seat, fleet.ports[seat])
+        for acceptor in MEMBERS:
+            if acceptor != member and (member, acceptor) not in fleet.links.ports:
+                await fleet.links.open(member, acceptor, fleet.ports[acceptor])
         fleet.write(member)
         fleet.start(member)
     await fleet.up()
     assert await fleet.held(AFTER_ALL + 3.0)
-    named = "".join(f'<seat name="{seat}"/>' for seat in ("g1", "g2", "g3"))
+    named = "".join(f'<seat name="{acceptor}"/>' for acceptor in ("g1", "g2", "g3"))
     hand_out(fleet, 2, named + '<seat name="g4" joins="true"/>')
     assert await until(lambda: settled(fleet, 2, "g1", "g2", "g3", "g4"), 10.0)
     fleet.links.cut("g5", "both")
@@ -68,7 +70,7 @@
     assert await fleet.held(AFTER_ALL)
 
 
-def test_the_council_changes_seat_by_seat_under_a_holder(tmp_path):
+def test_the_quorum_changes_one_by_one_under_a_holder(tmp_path):
     async def play() -> list[str]:
         fleet = Installation(tmp_path, MEMBERS)
         await fleet.open()
--- a/tests/fleet/procs/test_holds.py
+++ b/tests/fleet/procs/test_holds.py
@@ -30,7 +30,7 @@
 
 @pytest.fixture
 def gateway(tmp_path):
-    """One with all others of its council away: it needs nobody to hold."""
+    """One with all others of its quorum away: it needs nobody to hold."""
     listen, processor, fleet = free_ports(3)
     told = json.loads((ROOT / "examples" / "config.json").read_text()) | {"listen": f"127.0.0.1:{listen}"}
     (tmp_path / "config.json").write_text(json.dumps(told))
--- a/tests/fleet/procs/test_leases.py
+++ b/tests/fleet/procs/test_leases.py
@@ -18,14 +18,14 @@
 FAULTS = 5
 # A dead holder's lease, what clocks run apart, two beats of those that wait, and the machine's own delays.
 TAKEN_UP = LEASE * 1.02 + 2 * BEAT + 1.0
-# After all faults: seats that start anew stand aside for a lease, recall each other, and then one is taken
-# up.
+# After all faults: acceptors that start anew stand aside for a lease and ask each other what they remember,
+# then one task is taken up.
 AFTER_ALL = 2 * LEASE * 1.02 + 6 * BEAT + 3.0
 
 FAMILIES = {
     "links": ("both", "deaf", "mute", "slow", "reset"),
-    "pauses": ("pause", "pause holder", "pause seat"),
-    "kills": ("kill", "kill holder", "kill seat"),
+    "pauses": ("pause", "pause holder", "pause acceptor"),
+    "kills": ("kill", "kill holder", "kill acceptor"),
     "disks": ("kept", "emptied", "older"),
 }
 
@@ -47,7 +47,9 @@
         what, _, which = kind.partition(" ")
         member = (fleet.holder() or member) if which == "holder" else member
         member = (
-            dice.choice(fleet.seats) if which == "seat" or what in ("kept", "emptied", "older") else member
+            dice.choice(fleet.acceptors)
+            if which == "acceptor" or what in ("kept", "emptied", "older")
+            else member
         )
         if what == "pause":
             fleet.pause(member)
@@ -66,14 +68,14 @@
     dice, fleet = Random(f"{family} {seed}"), Installation(folder, MEMBERS)
     await fleet.open()
     try:
-        for seat in fleet.seats if family == "disks" else ():
-            fleet.start(seat)
+        for acceptor in fleet.acceptors if family == "disks" else ():
+            fleet.start(acceptor)
         if family == "disks":  # an early copy of each disk, from after the founding
             await fleet.up()
-            assert all([await fleet.returned(seat, AFTER_ALL) for seat in fleet.seats])
-            for seat in fleet.seats:
-                fleet.kill(seat)
-                fleet.save(seat)
+            assert all([await fleet.returned(acceptor, AFTER_ALL) for acceptor in fleet.acceptors])
+            for acceptor in fleet.acceptors:
+                fleet.kill(acceptor)
+                fleet.save(acceptor)
         for member in MEMBERS:
             fleet.start(member)
         await fleet.up()
@@ -81,10 +83,12 @@
         for _ in range(FAULTS):
             await one_fault(fleet, dice, dice.choice(FAMILIES[family]))
             await asyncio.sleep(dice.uniform(0.0, 0.6))
-            if family == "disks":  # one at a time: more at once are past the council's bound
+            if family == "disks":  # one at a time: more at once are past the quorum's bound
                 await fleet.up()
-                away = [seat for seat in fleet.seats if not await fleet.returned(seat, AFTER_ALL)]
-                found += [f"{seat} did not return" for seat in away]
+                away = [
+                    acceptor for acceptor in fleet.acceptors if not await fleet.returned(acceptor, AFTER_ALL)
+                ]
+                found += [f"{acceptor} did not return" for acceptor in away]
         fleet.links.mend()
         await fleet.up()
         began = time.monotonic()
@@ -144,8 +148,8 @@
         fleet = Installation(tmp_path, MEMBERS, rates={"g4": 0.5})
         await fleet.open()
         try:
-            for seat in fleet.seats:  # they grant, and stand for nothing
-                file = fleet.folder / f"{seat}.xml"
+            for acceptor in fleet.acceptors:  # they grant, and stand for nothing
+                file = fleet.folder / f"{acceptor}.xml"
                 file.write_text(re.sub("<task [^>]*/>", "", file.read_text()))
             for member in ("g1", "g2", "g3", "g4"):
                 fleet.start(member)
--- a/tests/fleet/sim/test_fleets.py
+++ b/tests/fleet/sim/test_fleets.py
@@ -20,7 +20,7 @@
     found = breaches(fleet.acts, [])
     for task in range(fleet.shape.tasks):
         gap = longest_gap(fleet.acts, f"task-{task}", 0.75 * fleet.shape.seconds + 4.5, fleet.shape.seconds)
-        if gap > 6.0:  # after the last fault: a lease, beats, and seats that come back
+        if gap > 6.0:  # after the last fault: a lease, beats, and acceptors that come back
             found.append(f"task-{task} was nobody's for {gap:.1f} s")
     return len(fleet.acts), [f"seed {seed}: {words}" for words in found]
 
@@ -36,7 +36,7 @@
 
 
 def test_the_same_seed_gives_the_same_record():
-    shape = Shape(gateways=200, seats=5, tasks=10, seconds=8, faults=20)
+    shape = Shape(gateways=200, acceptors=5, tasks=10, seconds=8, faults=20)
     records = [sha256("\n".join(Fleet(shape, 7).play()).encode()).hexdigest() for _ in range(2)]
     assert records[0] == records[1] != sha256("\n".join(Fleet(shape, 8).play()).encode()).hexdigest()
 
--- a/tests/fleet/sim/world.py
+++ b/tests/fleet/sim/world.py
@@ -11,11 +11,17 @@
 from random import Random
 from typing import NamedTuple
 
-from linenbridge.fleet.leases.asker import Asker
-from linenbridge.fleet.leases.quorum import Council
-from linenbridge.fleet.leases.seat import Kept, Seat
+from linenbridge.fleet.leases.acceptor import Acceptor, Kept
+from linenbridge.fleet.leases.messages import (
+    LeaseReply,
+    LeaseRequest,
+    PlaceRecord,
+    RecoveryReply,
+    RecoveryRequest,
+)
+from linenbridge.fleet.leases.proposer import Proposer
+from linenbridge.fleet.leases.quorum import Quorum
 from linenbridge.fleet.leases.terms import Pace
-from linenbridge.fleet.leases.words import Place, Recall, Round, Said, Table
 from tests.fleet.procs.standin_resource import Act
 
 MS, SECOND = 1_000, 1_000_000
@@ -26,7 +32,7 @@
     """Of a fleet and of what goes wrong in it. `apart`: clocks run at 1 - apart / 2 to 1 + apart / 2."""
 
     gateways: int = 12
-    seats: int = 3
+    acceptors: int = 3
     tasks: int = 3
     seconds: int = 40
     faults: int = 12
@@ -38,12 +44,12 @@
     def __init__(self, shape: Shape, seed: int) -> None:
         self.shape, self.dice, self.now, self.count = shape, Random(f"fleet {seed}"), 0, 0
         self.names = [f"g{n}" for n in range(shape.gateways)]
-        self.seats = self.names[: shape.seats]
-        self.council = Council(1, tuple(self.seats), tuple(self.seats))
+        self.acceptors = self.names[: shape.acceptors]
+        self.quorum = Quorum(1, tuple(self.acceptors), tuple(self.acceptors))
         half = shape.apart / 2
         self.rates = {name: self.dice.uniform(1 - half, 1 + half) for name in self.names}
-        self.lives, self.cores, self.wakes = 0, dict[str, Asker | Seat](), dict[str, int]()
-        self.disks = {seat: Kept() for seat in self.seats}
+        self.lives, self.cores, self.wakes = 0, dict[str, Proposer | Acceptor](), dict[str, int]()
+        self.disks = {acceptor: Kept() for acceptor in self.acceptors}
         self.down, self.cut = set[str](), dict[str, str]()
         self.queue: list[tuple[int, int, tuple]] = []
         self.acts, self.newest, self.calls = list[Act](), dict[tuple[str, int], int](), Counter()
@@ -84,7 +90,7 @@
             elif kind == "on":
                 self.down.discard(what[1])
                 self._pump(what[1])
-                self._pump(f"seat {what[1]}")
+                self._pump(f"acceptor {what[1]}")
             elif kind == "mend":
                 self.cut.clear()
         return lines + [
@@ -97,19 +103,19 @@
         self.lives += 1
         self.down.discard(name)
         now, pace = self.clock(name), self.shape.pace
-        asker = self.cores[name] = Asker(f"{name}#{self.lives}", self.council, pace, self.lives, now)
+        proposer = self.cores[name] = Proposer(f"{name}#{self.lives}", self.quorum, pace, self.lives, now)
         for task in range(self.shape.tasks):
-            asker.stand_for(now, f"task-{task}")
-        if name in self.seats:
-            self.cores[f"seat {name}"] = Seat(
-                name, self.council, pace, self.disks[name], now, life=self.lives << 20
+            proposer.stand_for(now, f"task-{task}")
+        if name in self.acceptors:
+            self.cores[f"acceptor {name}"] = Acceptor(
+                name, self.quorum, pace, self.disks[name], now, life=self.lives << 20
             )
-            self._pump(f"seat {name}")
+            self._pump(f"acceptor {name}")
         self._pump(name)
-        self._at(self.now + self.dice.randrange(ACT_EVERY), ("act", asker.name))
+        self._at(self.now + self.dice.randrange(ACT_EVERY), ("act", proposer.name))
 
     def _pump(self, core_name: str) -> None:
-        core, name = self.cores.get(core_name), core_name.removeprefix("seat ")
+        core, name = self.cores.get(core_name), core_name.removeprefix("acceptor ")
         if core is None or name in self.down:
             return
         now = self.clock(name)
@@ -127,11 +133,11 @@
                 self.wakes[core_name] = at
                 self._at(at, ("wake", core_name))
 
-    def _keep(self, name: str, seat: Seat, rows: list[tuple]) -> None:
+    def _keep(self, name: str, acceptor: Acceptor, rows: list[tuple]) -> None:
         places = {(place.task, place.place): place for place in self.disks[name].places}
         for task, place, term, holder, closed in rows:
-            places[task, place] = Place(task, place, term, holder, closed, 0)
-        facts = seat.facts()
+            places[task, place] = PlaceRecord(task, place, term, holder, closed, 0)
+        facts = acceptor.facts()
         known = tuple(places[key] for key in sorted(places))
         self.disks[name] = Kept(
             bool(facts["remembers"]), facts["settled"], facts["stamp"], facts["longest"], known
@@ -139,7 +145,7 @@
 
     # ---- the network -----------------------------------------------------------------------------------
 
-    def _say(self, sender: str, to: str, word: object) -> None:
+    def _say(self, sender: str, to: str, message: object) -> None:
         far = to.partition("#")[0]
         self.calls["sent", sender] += 1
         self.calls["heard", far] += 1
@@ -150,60 +156,64 @@
             late += self.dice.randrange(6 * SECOND)
         if self.dice.random() < 0.01 and sender != far:
             return
-        self._at(self.now + late, ("word", far, to, word))
+        self._at(self.now + late, ("word", far, to, message))
         if self.dice.random() < 0.01:
-            self._at(self.now + late * 3, ("word", far, to, word))
+            self._at(self.now + late * 3, ("word", far, to, message))
 
-    def _deliver(self, name: str, to: str, word: object) -> None:
+    def _deliver(self, name: str, to: str, message: object) -> None:
         if name in self.down:
-            self._at(self.now + 50 * MS, ("word", name, to, word))  # in the system's hands until it wakes
+            self._at(self.now + 50 * MS, ("word", name, to, message))  # in the system's hands until it wakes
             return
         now = self.clock(name)
-        asker, seat = self.cores.get(name), self.cores.get(f"seat {name}")
-        if isinstance(word, Said):
-            if asker is not None and asker.name == to:
-                asker.on_said(now, word)
+        proposer, acceptor = self.cores.get(name), self.cores.get(f"acceptor {name}")
+        if isinstance(message, LeaseReply):
+            if proposer is not None and proposer.name == to:
+                proposer.on_reply(now, message)
                 self._pump(name)
-        elif seat is not None:
-            call = {Round: seat.on_round, Recall: seat.on_recall, Table: seat.on_table}[type(word)]
-            call(now, word)
-            self._pump(f"seat {name}")
+        elif acceptor is not None:
+            call = {
+                LeaseRequest: acceptor.on_request,
+                RecoveryRequest: acceptor.on_recovery_request,
+                RecoveryReply: acceptor.on_recovery_reply,
+            }[type(message)]
+            call(now, message)
+            self._pump(f"acceptor {name}")
 
     # ---- what goes wrong, what is done -------------------------------------------------------------------
 
     def _fault(self) -> str:
         kind = self.dice.choice(("kill", "blank", "pause", "both", "mute", "deaf", "leave"))
-        name = self.dice.choice(self.seats if kind == "blank" else self.names)
+        name = self.dice.choice(self.acceptors if kind == "blank" else self.names)
         if kind in ("both", "mute", "deaf"):
             self.cut[name] = kind
         elif kind == "pause":
             self.down.add(name)
             self._at(self.now + self.dice.randrange(9 * SECOND), ("on", name))
         elif kind == "leave":
-            asker = self.cores.get(name)
-            if asker is not None and name not in self.down:
-                for task in list(asker.holds):
-                    asker.leave(self.clock(name), task)
+            proposer = self.cores.get(name)
+            if proposer is not None and name not in self.down:
+                for task in list(proposer.holds):
+                    proposer.leave(self.clock(name), task)
                 self._pump(name)
         else:
-            # No two seats forget within what one needs to come back: that is past the council's bound.
+            # No two acceptors forget within what one needs to come back: that is past the quorum's bound.
             blank = kind == "blank" and self.now >= self.gone
             if blank:
                 self.gone, self.disks[name] = self.now + 15 * SECOND, Kept()
             self.cores.pop(name, None)
-            self.cores.pop(f"seat {name}", None)
+            self.cores.pop(f"acceptor {name}", None)
             self._at(self.now + self.dice.randrange(3 * SECOND), ("up", name))
         return f"{kind} {name}"
 
     def _act(self, life: str) -> None:
         name = life.partition("#")[0]
-        asker = self.cores.get(name)
-        if asker is None or asker.name != life:
+        proposer = self.cores.get(name)
+        if proposer is None or proposer.name != life:
             return
         if name not in self.down:
             now = self.clock(name)
-            for task, hold in asker.holds.items():
-                term = asker.may_act(now, task)
+            for task, hold in proposer.holds.items():
+                term = proposer.may_act(now, task)
                 if term is not None:
                     key = (task, hold.place)
                     taken = term >= self.newest.get(key, 0)
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -8,15 +8,15 @@
 
 import pytest
 
-from linenbridge.fleet.leases.quorum import Council
-from linenbridge.fleet.configuration import fleet
 from linenbridge.configuration.read import ConfigurationError, parse
+from linenbridge.fleet.configuration import fleet
+from linenbridge.fleet.leases.quorum import Quorum
 
-SEATS = '<council><seat name="g1"/><seat name="g2"/><seat name="g3"/></council>'
+ACCEPTORS = '<council><seat name="g1"/><seat name="g2"/><seat name="g3"/></council>'
 OTHERS = "".join(f'<member name="g{n}" address="127.0.0.1:710{n}"/>' for n in (2, 3, 4))
 
 
-def told(inside: str = OTHERS + SEATS, more: str = "") -> bytes:
+def told(inside: str = OTHERS + ACCEPTORS, more: str = "") -> bytes:
     return (
         f'<linenbridge xmlns="urn:linenbridge:premises:1">\n<fleet member="g1" listen="127.0.0.1:7101" {more}>\n'
         f"{inside}\n</fleet>\n</linenbridge>"
@@ -25,17 +25,17 @@
 
 def test_a_plain_element_gets_the_schemas_defaults():
     found = fleet(parse(told(), "x.xml"))
-    assert found.pace == (10_000_000, 10_000_000, 10_000, 2_000_000) and found.sits()
-    assert found.council == Council(1, ("g1", "g2", "g3"), ("g1", "g2", "g3"))
+    assert found.pace == (10_000_000, 10_000_000, 10_000, 2_000_000) and found.is_acceptor()
+    assert found.quorum == Quorum(1, ("g1", "g2", "g3"), ("g1", "g2", "g3"))
     assert found.members["g4"] == ("127.0.0.1", 7104) and not found.errands
 
 
-def test_one_seat_joins_while_both_lists_count():
-    joins = SEATS.replace("<council>", '<council generation="2">').replace(
+def test_one_acceptor_joins_while_both_lists_count():
+    joins = ACCEPTORS.replace("<council>", '<council generation="2">').replace(
         "</council>", '<seat name="g4" joins="true"/></council>'
     )
-    council = fleet(parse(told(OTHERS + joins), "x.xml")).council
-    assert council == Council(2, ("g1", "g2", "g3", "g4"), ("g1", "g2", "g3"))
+    quorum = fleet(parse(told(OTHERS + joins), "x.xml")).quorum
+    assert quorum == Quorum(2, ("g1", "g2", "g3", "g4"), ("g1", "g2", "g3"))
 
 
 @pytest.mark.parametrize(
@@ -44,14 +44,14 @@
         (told(more='lease="5s" longest="2s"'), "x.xml:2:1: the lease is longer than `longest`; raise"),
         (told(more='lease="5s" beat="4s"'), "three beats; shorten"),
         (told(more='clocks-apart="50%"'), "by half; name the bound"),
-        (told(OTHERS + OTHERS + SEATS), "x.xml:3:133: two members are named g2; give each"),
-        (told(OTHERS + SEATS.replace('"g3"', '"g9"')), "nobody is named g9; add the member"),
-        (told(OTHERS + SEATS.replace('"g3"', '"g2"')), "g2 sits there already"),
-        (told(OTHERS + '<council><seat name="g1"/></council>'), "3 to 7 seats, not 1"),
-        (told(OTHERS + SEATS.replace('name="g2"', 'name="g2" leaves="true"').replace(
-            "</council>", '<seat name="g4" joins="true"/></council>')), "two seats change at once; change one"),
-        (told(OTHERS + SEATS + '<task name="a"/><task name="a"/>'), "the task a is there already; name it once"),
-        (told(OTHERS + SEATS + '<task name="a" places="65"/>'), "64 places at most"),
+        (told(OTHERS + OTHERS + ACCEPTORS), "x.xml:3:133: two members are named g2; give each"),
+        (told(OTHERS + ACCEPTORS.replace('"g3"', '"g9"')), "nobody is named g9; add the member"),
+        (told(OTHERS + ACCEPTORS.replace('"g3"', '"g2"')), "g2 is an acceptor already"),
+        (told(OTHERS + '<council><seat name="g1"/></council>'), "3 to 7 acceptors, not 1"),
+        (told(OTHERS + ACCEPTORS.replace('name="g2"', 'name="g2" leaves="true"').replace(
+            "</council>", '<seat name="g4" joins="true"/></council>')), "two acceptors change at once; change one"),
+        (told(OTHERS + ACCEPTORS + '<task name="a"/><task name="a"/>'), "the task a is there already; name it once"),
+        (told(OTHERS + ACCEPTORS + '<task name="a" places="65"/>'), "64 places at most"),
     ],
 )  # fmt: skip
 def test_what_is_wrong_is_named_with_its_place_and_what_to_do(data, line):
@@ -62,14 +62,14 @@
 
 def test_all_wrong_places_are_named_at_once():
     with pytest.raises(ConfigurationError) as error:
-        fleet(parse(told(OTHERS + SEATS.replace('"g3"', '"g9"'), 'lease="5s" beat="4s"'), "x.xml"))
+        fleet(parse(told(OTHERS + ACCEPTORS.replace('"g3"', '"g9"'), 'lease="5s" beat="4s"'), "x.xml"))
     assert len(str(error.value).splitlines()) == 2
 
 
 def test_settings_without_a_fleet_or_with_bad_ones_end_with_2(tmp_path):
     root = Path(__file__).parents[2]
     for data in (
-        told(OTHERS + SEATS.replace('"g3"', '"g9"')),
+        told(OTHERS + ACCEPTORS.replace('"g3"', '"g9"')),
         b"<linenbridge xmlns='urn:linenbridge:premises:1'/>",
     ):
         (tmp_path / "x.xml").write_bytes(data)
--- a/tests/fleet/test_errors.py
+++ b/tests/fleet/test_errors.py
@@ -10,6 +10,7 @@
 
 import linenbridge.fleet
 from linenbridge.fleet.errors import FleetError, Refusal, kinds
+from linenbridge.fleet.leases.errors import QuorumLost
 
 for module in pkgutil.walk_packages(linenbridge.fleet.__path__, "linenbridge.fleet."):
     importlib.import_module(module.name)
@@ -42,3 +43,8 @@
         "where": "g1",
         "do": "wait",
     }
+
+
+def test_a_renamed_kind_is_logged_under_both_names():
+    fields = QuorumLost("only g1 grants", "g2").fields()
+    assert (fields["kind"], fields["name"]) == ("CouncilLost", "QuorumLost")
--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -8,7 +8,7 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from linenbridge.fleet.hosting.links import CONNECT_WAIT, Links, Meet, Say, _encode
-from linenbridge.fleet.leases.words import Recall
+from linenbridge.fleet.leases.messages import RecoveryRequest
 from linenbridge.net.log import Log
 
 
@@ -50,7 +50,7 @@
 
 def test_words_go_both_ways_by_name():
     here, one, other = met()
-    word = Recall(3, "b", 1)
+    word = RecoveryRequest(3, "b", 1)
     other.links.say("a", word)
     carry(other, one)
     assert here.words == [("b", word)] and list(here.links.to) == ["b"]
@@ -80,7 +80,7 @@
     here = End("a", "b")
     one, other = here.came(), End("b", "a").came()
     other.transport.clear()
-    other.callRemote(Say, word=_encode.encode(Recall(1, "b", 1)))
+    other.callRemote(Say, word=_encode.encode(RecoveryRequest(1, "b", 1)))
     carry(other, one)
     assert not here.words
 
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -1,4 +1,4 @@
-"""A seat's promises on disk: what is kept comes back, what is damaged, full or read-only is said."""
+"""An acceptor's promises on disk: what is kept comes back, what is damaged, full or read-only is said."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 import apsw
 import pytest
 
+from linenbridge.fleet.leases.acceptor import Acceptor, Kept
 from linenbridge.fleet.leases.errors import StoreTorn, StoreUnusable
-from linenbridge.fleet.leases.quorum import Council
-from linenbridge.fleet.leases.seat import Kept, Seat
+from linenbridge.fleet.leases.messages import Acquire, LeaseRequest, PlaceRecord
+from linenbridge.fleet.leases.quorum import Quorum
 from linenbridge.fleet.leases.terms import Pace
-from linenbridge.fleet.leases.words import Place, Round, Take
 from linenbridge.fleet.store.promises import Promises, promises
 
 ROWS = [("sweep", 0, 7, "g1#1", 0), ("sweep", 1, 5, "g2#1", 5)]
@@ -22,14 +22,14 @@
 
 
 def test_what_is_kept_comes_back_and_a_new_file_remembers_nothing(tmp_path):
-    path = str(tmp_path / "seat.db")
+    path = str(tmp_path / "acceptor.db")
     store = Promises(path, "g1")
     assert store.read() == Kept()
     store.keep(ROWS, FACTS)
     store.keep([("sweep", 0, 8, "g2#2", 0)], {**FACTS, "stamp": 13})
     store.close()
     kept = Promises(path, "g1").read()
-    places = (Place("sweep", 0, 8, "g2#2", 0, 0), Place("sweep", 1, 5, "g2#1", 5, 0))
+    places = (PlaceRecord("sweep", 0, 8, "g2#2", 0, 0), PlaceRecord("sweep", 1, 5, "g2#1", 5, 0))
     assert kept == Kept(True, 3, 13, 9, places)
 
 
@@ -40,7 +40,7 @@
 
 
 def test_a_promise_survives_a_kill_right_after_it(tmp_path):
-    path = str(tmp_path / "seat.db")
+    path = str(tmp_path / "acceptor.db")
     text = (
         "import os, sys; from linenbridge.fleet.store.promises import Promises\n"
         f"store = Promises(sys.argv[1], 'g1'); store.read()\n"
@@ -52,7 +52,7 @@
 
 
 def test_damage_is_said(tmp_path):
-    path = str(tmp_path / "seat.db")
+    path = str(tmp_path / "acceptor.db")
     store = Promises(path, "g1")
     store.read()
     store.keep(ROWS, FACTS)
@@ -69,27 +69,27 @@
 
 def test_a_disk_that_takes_nothing_is_said_before_anything_is_promised(tmp_path):
     with pytest.raises(StoreUnusable, match="no folder"):
-        promises(str(tmp_path / "none" / "seat.db"), "g1")
+        promises(str(tmp_path / "none" / "acceptor.db"), "g1")
     (tmp_path / "folder.db").mkdir()
     with pytest.raises(StoreUnusable):
         promises(str(tmp_path / "folder.db"), "g1").read()
-    first = Promises(str(tmp_path / "seat.db"), "g1")
+    first = Promises(str(tmp_path / "acceptor.db"), "g1")
     first.read()
     with pytest.raises(StoreUnusable):
-        Promises(str(tmp_path / "seat.db"), "g1").read()
+        Promises(str(tmp_path / "acceptor.db"), "g1").read()
 
 
-def test_a_full_disk_takes_the_seat_out_of_the_council(tmp_path):
-    store = Promises(str(tmp_path / "seat.db"), "a")
+def test_a_full_disk_takes_the_acceptor_out_of_the_quorum(tmp_path):
+    store = Promises(str(tmp_path / "acceptor.db"), "a")
     store.read()
     (pages,) = store.connection.execute("pragma page_count").fetchone()
     store.connection.execute(f"pragma max_page_count={pages}")
     with pytest.raises(StoreUnusable) as full:
         store.keep([(f"task-{n}", 0, 1, "x" * 60, 0) for n in range(500)], FACTS)
-    council, pace = Council(1, ("a", "b", "c"), ("a", "b", "c")), Pace(100, 100, 10_000, 10)
-    seat = Seat("a", council, pace, Kept(True, 1, 0, 100, ()), 0, trusted=True)
-    assert seat.grants()
-    seat.on_store_failed(1, str(full.value))
-    seat.on_round(2, Round(1, "x#1", 1, 0, [Take("t", 0, 1, 100)], [], []))
-    said = [d for d in iter(lambda: seat.next_decision(2), None) if d[0] == "say"]
-    assert not seat.grants() and [word.code for _, _, word in said] == ["aside"]
+    quorum, pace = Quorum(1, ("a", "b", "c"), ("a", "b", "c")), Pace(100, 100, 10_000, 10)
+    acceptor = Acceptor("a", quorum, pace, Kept(True, 1, 0, 100, ()), 0, trusted=True)
+    assert acceptor.grants()
+    acceptor.on_store_failed(1, str(full.value))
+    acceptor.on_request(2, LeaseRequest(1, "x#1", 1, 0, [Acquire("t", 0, 1, 100)], [], []))
+    said = [d for d in iter(lambda: acceptor.next_decision(2), None) if d[0] == "say"]
+    assert not acceptor.grants() and [word.code for _, _, word in said] == ["aside"]
