Settings take quorum and acceptor; council and seat are read alike

Need: the elements still had the names that the code has left behind, and installations use them.

Change: the schema and the reader take either name of each element, not both of one; a test compares what both come to.

--- a/linenbridge/fleet/configuration.py
+++ b/linenbridge/fleet/configuration.py
@@ -83,9 +83,9 @@
         if row.get("name") in members or row.get("name") == said["member"]:
             refuse(row, f"two members are named {row.get('name')}", "give each member a name of its own")
         members[row.get("name")] = host_port(row.get("address").replace("[", "").replace("]", ""))
-    row = element.find(f"{SPACE}council")
+    row = _quorum_element(element)
     quorum = _quorum(row, said["member"], members, refuse)
-    first_term = int(attributes(row, "council")["first-term"])
+    first_term = int(attributes(row, "quorum")["first-term"])
     errands = list[Errand]()
     for row in element.iterchildren(f"{SPACE}task"):
         words = attributes(row, "task")
@@ -110,9 +110,15 @@
     )  # fmt: skip
 
 
+def _quorum_element(element: etree._Element) -> etree._Element:
+    """The schema lets exactly one of the two names through; `council` is the earlier one."""
+    found = element.find(f"{SPACE}quorum")
+    return found if found is not None else element.find(f"{SPACE}council")
+
+
 def _quorum(element: etree._Element, own: str, members: dict, refuse) -> Quorum:  # noqa: ANN001
     now, before, changes = list[str](), list[str](), 0
-    for row in element.iterchildren(f"{SPACE}seat"):
+    for row in element.iterchildren(f"{SPACE}acceptor", f"{SPACE}seat"):
         name, joins, leaves = (
             row.get("name"),
             *(row.get(word) in ("true", "1") for word in ("joins", "leaves")),
@@ -140,4 +146,4 @@
             f"a quorum has {ACCEPTORS[0]} to {ACCEPTORS[1]} acceptors, not {len(now)}",
             "add or remove acceptors",
         )
-    return Quorum(int(attributes(element, "council")["generation"]), tuple(now), tuple(before))
+    return Quorum(int(attributes(element, "quorum")["generation"]), tuple(now), tuple(before))
--- a/tests/fleet/test_configuration.py
+++ b/tests/fleet/test_configuration.py
@@ -12,7 +12,7 @@
 from linenbridge.fleet.configuration import fleet
 from linenbridge.fleet.leases.quorum import Quorum
 
-ACCEPTORS = '<council><seat name="g1"/><seat name="g2"/><seat name="g3"/></council>'
+ACCEPTORS = '<quorum><acceptor name="g1"/><acceptor name="g2"/><acceptor name="g3"/></quorum>'
 OTHERS = "".join(f'<member name="g{n}" address="127.0.0.1:710{n}"/>' for n in (2, 3, 4))
 
 
@@ -31,13 +31,21 @@
 
 
 def test_one_acceptor_joins_while_both_lists_count():
-    joins = ACCEPTORS.replace("<council>", '<council generation="2">').replace(
-        "</council>", '<seat name="g4" joins="true"/></council>'
+    joins = ACCEPTORS.replace("<quorum>", '<quorum generation="2">').replace(
+        "</quorum>", '<acceptor name="g4" joins="true"/></quorum>'
     )
     quorum = fleet(parse(told(OTHERS + joins), "x.xml")).quorum
     assert quorum == Quorum(2, ("g1", "g2", "g3", "g4"), ("g1", "g2", "g3"))
 
 
+def test_the_earlier_names_of_the_quorum_and_its_acceptors_are_read_alike():
+    earlier = ACCEPTORS.replace("quorum", "council").replace("<acceptor", "<seat")
+    assert "<council><seat" in earlier
+    assert fleet(parse(told(OTHERS + earlier), "x.xml")) == fleet(parse(told(), "x.xml"))
+    with pytest.raises(ConfigurationError):
+        parse(told(OTHERS + ACCEPTORS + earlier), "x.xml")
+
+
 @pytest.mark.parametrize(
     ("data", "line"),
     [
@@ -47,9 +55,9 @@
         (told(OTHERS + OTHERS + ACCEPTORS), "x.xml:3:133: two members are named g2; give each"),
         (told(OTHERS + ACCEPTORS.replace('"g3"', '"g9"')), "nobody is named g9; add the member"),
         (told(OTHERS + ACCEPTORS.replace('"g3"', '"g2"')), "g2 is an acceptor already"),
-        (told(OTHERS + '<council><seat name="g1"/></council>'), "3 to 7 acceptors, not 1"),
+        (told(OTHERS + '<quorum><acceptor name="g1"/></quorum>'), "3 to 7 acceptors, not 1"),
         (told(OTHERS + ACCEPTORS.replace('name="g2"', 'name="g2" leaves="true"').replace(
-            "</council>", '<seat name="g4" joins="true"/></council>')), "two acceptors change at once; change one"),
+            "</quorum>", '<acceptor name="g4" joins="true"/></quorum>')), "two acceptors change at once; change one"),
         (told(OTHERS + ACCEPTORS + '<task name="a"/><task name="a"/>'), "the task a is there already; name it once"),
         (told(OTHERS + ACCEPTORS + '<task name="a" places="65"/>'), "64 places at most"),
     ],
