The processor's settings are ProcessorSettings, read by processor_settings()

Need: Wicket was a name of our own for the checked element processor.

Change: names only, in processor/, the command line and their tests.

--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -18,7 +18,7 @@
 
 from linenbridge.configuration.read import Configuration, ConfigurationError, read, schema_text
 from linenbridge.processor.answers import AnswerForm
-from linenbridge.processor.configuration import routes, wicket
+from linenbridge.processor.configuration import processor_settings, routes
 from linenbridge.routes.table import Request
 
 FOUND, UNUSABLE = 1, 2
@@ -120,7 +120,7 @@
 
     try:
         at, configuration = _loaded(config), read(str(settings_file))
-        if (told := wicket(configuration)) is None:
+        if (told := processor_settings(configuration)) is None:
             raise ConfigurationError(f"{settings_file}: it has no processor, and so no routes")
         longest = micros(max(profile.give_up for profile in at.settings.profiles))
         return routes(told, list(startup(at.settings).methods), longest)
@@ -188,7 +188,7 @@
 ) -> None:
     """Check the file by its schema, and its routes where a configuration is given."""
     try:
-        told = wicket(read(str(settings_file)))
+        told = processor_settings(read(str(settings_file)))
     except ConfigurationError as error:
         raise _refuse(error) from None
     if config is not None and told is not None:
@@ -215,7 +215,7 @@
 def shown(configuration: Configuration) -> dict[str, object]:
     """The settings in force, by dotted names; times in microseconds."""
     rows: dict[str, object] = {"log.level": configuration.log_level}
-    if (told := wicket(configuration)) is None:
+    if (told := processor_settings(configuration)) is None:
         return rows
     rows |= {
         "listen": f"{told.host}:{told.port}",
--- a/linenbridge/processor/configuration.py
+++ b/linenbridge/processor/configuration.py
@@ -31,8 +31,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wicket:
-    """All that the processor's front is told."""
+class ProcessorSettings:
+    """The element `processor` of the settings, checked. Times in microseconds, sizes in bytes."""
 
     host: str
     port: int
@@ -59,7 +59,7 @@
     network: ipaddress.IPv4Network | ipaddress.IPv6Network | None
 
 
-def wicket(configuration: Configuration) -> Wicket | None:
+def processor_settings(configuration: Configuration) -> ProcessorSettings | None:
     """The processor's element of the settings; None where the file has none."""
     element = configuration.part("processor")
     if element is None:
@@ -94,7 +94,7 @@
     kept = None
     if store is not None:
         kept = configuration.beside(store.get("file")), store.get("outlives", "process")
-    return Wicket(
+    return ProcessorSettings(
         host=host,
         port=port,
         passes_unrouted=element.get("unrouted") == "pass",
@@ -155,20 +155,19 @@
     return Known(partner, identity, network)
 
 
-def routes(wicket: Wicket, methods: list[Method], longest: int) -> Table:
+def routes(settings: ProcessorSettings, methods: list[Method], longest: int) -> Table:
     """The routing table; ConfigurationError gives each fault's place in the file that it stands in."""
     try:
-        return table(wicket.routes, methods, longest)
+        return table(settings.routes, methods, longest)
     except FaultsError as faults:
-        raise ConfigurationError("\n".join(_placed(wicket, error) for error in faults.wrong)) from None
+        raise ConfigurationError("\n".join(_placed(settings, error) for error in faults.wrong)) from None
     except RouteError as error:
-        raise ConfigurationError(_placed(wicket, error)) from None
+        raise ConfigurationError(_placed(settings, error)) from None
 
 
-def _placed(wicket: Wicket, error: RouteError) -> str:
-    return (
-        f"{wicket.routes_file}:{wicket.routes_line + error.place.line - 1}:{error.place.column}: {error.what}"
-    )
+def _placed(settings: ProcessorSettings, error: RouteError) -> str:
+    line = settings.routes_line + error.place.line - 1
+    return f"{settings.routes_file}:{line}:{error.place.column}: {error.what}"
 
 
 class Directory:
--- a/linenbridge/processor/server.py
+++ b/linenbridge/processor/server.py
@@ -27,7 +27,7 @@
 from linenbridge.processor.front import Front
 from linenbridge.processor.health import Health
 from linenbridge.processor.http2 import PERMISSION_DENIED, Call, Server
-from linenbridge.processor.configuration import Directory, Wicket, routes, wicket
+from linenbridge.processor.configuration import Directory, ProcessorSettings, processor_settings, routes
 from linenbridge.processor.store import Store
 from linenbridge.processor.tickets import Ledger
 from linenbridge.processor.verdicts import Verdicts
@@ -52,29 +52,29 @@
 class ProcessorServer:
     """The processor's front with its server, on one gateway's loop."""
 
-    def __init__(self, at: ProcessConfiguration, wicket: Wicket, log: Log, reactor: Any) -> None:
-        self.wicket, self.log, self.reactor = wicket, log, reactor
+    def __init__(self, at: ProcessConfiguration, settings: ProcessorSettings, log: Log, reactor: Any) -> None:
+        self.settings, self.log, self.reactor = settings, log, reactor
         start = startup(at.settings)
         self.longest = micros(max(profile.give_up for profile in at.settings.profiles))
-        self.table = routes(wicket, list(start.methods), self.longest)
-        self.directory = Directory(wicket.partners)
+        self.table = routes(settings, list(start.methods), self.longest)
+        self.directory = Directory(settings.partners)
         self.health = Health()
-        self.keys = keys.Keys(wicket.tls) if wicket.tls is not None else None
+        self.keys = keys.Keys(settings.tls) if settings.tls is not None else None
         self.front: Front | None = None
         self.server: Server | None = None
 
     def open(self, loop: Loop) -> Front:
         """The front on this loop; it listens only when told to."""
-        wicket = self.wicket
-        ours = frozenset(known.partner.name for known in wicket.partners if known.partner.ours)
-        store = None if wicket.store is None else Store(*wicket.store, self.log.event)
+        settings = self.settings
+        ours = frozenset(known.partner.name for known in settings.partners if known.partner.ours)
+        store = None if settings.store is None else Store(*settings.store, self.log.event)
         front = self.front = Front(
-            loop, self.reactor, self.table, Ledger(wicket.terms), Evidence(ours), Verdicts(wicket.proofs),
-            wicket.form, store, wicket.passes_unrouted, time.time,
+            loop, self.reactor, self.table, Ledger(settings.terms), Evidence(ours), Verdicts(settings.proofs),
+            settings.form, store, settings.passes_unrouted, time.time,
         )  # fmt: skip
         front.start()
         named = keys.names if self.keys is not None else lambda transport: ()
-        self.server = Server(self.reactor, loop.now, wicket.bounds, wicket.connections, self.log, named)
+        self.server = Server(self.reactor, loop.now, settings.bounds, settings.connections, self.log, named)
         self.server.services = {
             PROCESS: self._converse,
             HEALTH + b"Check": self.health.check,
@@ -91,15 +91,15 @@
         return Conversation(self.front, partner, call)
 
     def listen(self) -> None:
-        server, wicket = self.server, self.wicket
+        server, settings = self.server, self.settings
         if server is None:
             raise RuntimeError("the server has not been opened")
         if self.keys is not None:
-            server.port = self.reactor.listenSSL(wicket.port, server, self.keys, interface=wicket.host)
+            server.port = self.reactor.listenSSL(settings.port, server, self.keys, interface=settings.host)
         else:
-            server.port = self.reactor.listenTCP(wicket.port, server, interface=wicket.host)
+            server.port = self.reactor.listenTCP(settings.port, server, interface=settings.host)
         self.health.say(True)
-        self.log.event("processor.listening", host=wicket.host, port=server.port.getHost().port,
+        self.log.event("processor.listening", host=settings.host, port=server.port.getHost().port,
                        tls=self.keys is not None, routes=len(self.table.rules))  # fmt: skip
 
     def reload(self) -> None:
@@ -152,7 +152,7 @@
 
 def run(configuration: Configuration, at: ProcessConfiguration, resp: bool) -> int:
     """One process until its end: the processor, and RESP2 too where `resp` says so."""
-    if (told := wicket(configuration)) is None:
+    if (told := processor_settings(configuration)) is None:
         raise ConfigurationError(f"{configuration.path}: element 'linenbridge': it has no processor")
     log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,7 +16,7 @@
 from linenbridge.cli.commands import app
 from linenbridge.drill.processor import free_port
 from linenbridge.configuration.read import ConfigurationError, duration, parse, size
-from linenbridge.processor.configuration import Directory, wicket
+from linenbridge.processor.configuration import Directory, processor_settings
 
 ROOT = Path(__file__).parent.parent
 HEAD = '<linenbridge xmlns="urn:linenbridge:premises:1">\n'
@@ -31,7 +31,7 @@
 
 
 def test_a_plain_file_gets_the_schemas_defaults():
-    told = wicket(parse(file(), "x.xml"))
+    told = processor_settings(parse(file(), "x.xml"))
     assert (told.host, told.port, told.connections, told.bounds.streams) == (
         "127.0.0.1",
         9001,
@@ -49,7 +49,7 @@
         '<answer endpoint="x-to" pushed-back="429" aborted="504"/><proof status="503" header="x-n" value="1"/>'
         '<partner name="a" identity="desk.example" ours="true" attempts="4" fail-open="false"/>' + ROUTES
     )
-    told = wicket(parse(file(inside), "/etc/lb/x.xml"))
+    told = processor_settings(parse(file(inside), "/etc/lb/x.xml"))
     assert told.tls.key == "/etc/lb/k.pem" and told.store == ("/etc/lb/h.db", "power")
     assert (told.bounds.streams, told.bounds.message) == (7, 2 << 20)
     assert (told.form.endpoint, told.form.pushed_back, told.form.aborted) == ("x-to", 429, 504)
@@ -84,7 +84,7 @@
 )  # fmt: skip
 def test_one_line_names_the_place_of_whatever_is_wrong(data, words):
     with pytest.raises(ConfigurationError) as found:
-        wicket(parse(data, "x.xml"))
+        processor_settings(parse(data, "x.xml"))
     assert words in str(found.value), str(found.value)
     assert all(line.startswith("x.xml") for line in str(found.value).splitlines())
 
@@ -108,7 +108,7 @@
 
 def test_a_partner_is_known_by_its_certificate_or_its_network():
     inside = '<partner name="a" identity="desk.example"/><partner name="b" address="10.1.0.0/16"/>' + ROUTES
-    directory = Directory(wicket(parse(file(inside), "x.xml")).partners)
+    directory = Directory(processor_settings(parse(file(inside), "x.xml")).partners)
     assert directory.find("9.9.9.9", ("other", "desk.example")).name == "a"
     assert directory.find("10.1.2.3", ()).name == "b"
     assert directory.find("10.2.2.3", ("else",)) is None
