Conversations know an interface of their handler: no import cycle with the front

Cause: processor/front.py and conversation.py imported each other, the second for its types.

Change: conversation.py states what it needs as the protocol Handler, which Front meets; it imports nothing of the front. No behaviour changes.

--- a/linenbridge/processor/conversation.py
+++ b/linenbridge/processor/conversation.py
@@ -1,19 +1,18 @@
 """One stream of a proxy: the receiver of its messages, and the RPC that it is about while it is.
 
-Owns the stream's phases and what is said on it. It must never decide: what it hears goes to the front.
+Owns the stream's phases and what is said on it. It must never decide: what it hears goes to its handler, of
+which it knows the interface alone.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from linenbridge.net.log import Log
 from linenbridge.processor import http2, phases, wording
 from linenbridge.processor.tickets import Entry, Ticket
 
-if TYPE_CHECKING:
-    from linenbridge.processor.front import Front
-
 
 @dataclass(frozen=True, slots=True)
 class Partner:
@@ -26,51 +25,69 @@
     fail_open: bool = True
 
 
+class Handler(Protocol):
+    """What a conversation needs from whoever decides: `front.Front` outside of tests."""
+
+    log: Log
+
+    def asked(self, conversation: Conversation, heard: wording.Heard) -> None:
+        """Request headers have come; an answer is owed."""
+
+    def reported(self, conversation: Conversation, heard: wording.Heard) -> None:
+        """Response headers or trailers have come; an answer is owed."""
+
+    def left(self, conversation: Conversation) -> None:
+        """The stream is over, or its request is settled as if it were."""
+
+    def owes(self, conversation: Conversation) -> bool:
+        """Whether an answer to a report is still to come on this stream."""
+
+
 class Conversation:
     """One stream: the receiver of its messages, and the RPC that it is about while it is."""
 
-    __slots__ = ("call", "entry", "front", "grpc", "later", "partner", "phases", "ticket")
+    __slots__ = ("call", "entry", "grpc", "handler", "later", "partner", "phases", "ticket")
 
-    def __init__(self, front: Front, partner: Partner, call: http2.Call) -> None:
-        self.front, self.partner, self.call = front, partner, call
+    def __init__(self, handler: Handler, partner: Partner, call: http2.Call) -> None:
+        self.handler, self.partner, self.call = handler, partner, call
         self.phases = phases.Phases()
         self.entry: Entry | None = None
         self.ticket: Ticket | None = None
         self.grpc = self.later = False
 
     def message(self, data: memoryview) -> None:
-        front = self.front
+        handler = self.handler
         try:
             heard = wording.read(data)
             what = self.phases.step(heard.kind, heard.watched)
         except wording.MalformedError as error:
-            front.log.rarely("malformed", "message", error=str(error), proxy=self.partner.name)
+            handler.log.rarely("malformed", "message", error=str(error), proxy=self.partner.name)
             self.fail(http2.INVALID_ARGUMENT, str(error))
             return
         except phases.OutOfOrderError as error:
-            front.log.rarely("malformed", "order", error=str(error), proxy=self.partner.name)
+            handler.log.rarely("malformed", "order", error=str(error), proxy=self.partner.name)
             self.fail(http2.FAILED_PRECONDITION, str(error))
             return
         if what == phases.DECIDE:
-            front.asked(self, heard)
+            handler.asked(self, heard)
         elif what == phases.REPORT:
-            front.reported(self, heard)
+            handler.reported(self, heard)
         elif what == phases.PASS:
             self.call.send(wording.go_on(heard.kind or ""))
 
     def fail(self, status: int, text: str) -> None:
         """The stream ends here; what it was about is settled as if the proxy had left."""
-        self.front.left(self)
+        self.handler.left(self)
         self.call.finish(status, text)
 
     def half_closed(self) -> None:
         """The proxy says no more: an answer still owed is given, else the stream ends well."""
-        if self.phases.stands != phases.ASKED and not self.front.owes(self):
-            self.front.left(self)
+        if self.phases.stands != phases.ASKED and not self.handler.owes(self):
+            self.handler.left(self)
             self.call.finish(http2.OK)
 
     def gone(self) -> None:
-        self.front.left(self)
+        self.handler.left(self)
 
     def handed(self, answer: bytes) -> None:
         """The request goes on, and so does what has waited behind it."""
