Process schedules wait for the process that runs, not for as many lines as starts

No member was at fault.

Change: the installation remembers where in the log the present process begins and looks for its lines from there, for up and for returned alike: what an earlier process said, or left unsaid, does not count.

--- a/tests/fleet/procs/installation.py
+++ b/tests/fleet/procs/installation.py
@@ -45,7 +45,9 @@
         self.stopped: set[str] = set()
         self.woken: list[tuple[float, str]] = []
         self.saved: dict[str, Path] = {}
-        self.starts: dict[str, int] = {}
+        self.log_starts: dict[
+            str, int
+        ] = {}  # by member, where in its log the present process begins, in bytes
 
     async def open(self) -> None:
         await self.resource.open()
@@ -73,8 +75,8 @@
         environ = {**os.environ, "LB_TEST_RATE": str(self.rates.get(member, 1.0))}
         environ.pop("LB_CONFIG", None)
         words = [sys.executable, "-m", "tests.fleet.procs.run_member", "serve", "--settings"]
-        self.starts[member] = self.starts.get(member, 0) + 1
         with open(self.folder / f"{member}.log", "ab") as log:
+            self.log_starts[member] = log.tell()
             self.running[member] = subprocess.Popen(
                 [*words, str(self.folder / f"{member}.xml")], cwd=ROOT, stderr=log, env=environ
             )
@@ -115,20 +117,24 @@
         self.saved[member] = folder
 
     async def up(self, wait: float = 60.0) -> None:
-        """Until every process that was started has said so: how long a busy machine takes to load a program
-        is none of what is promised."""
+        """Until every process that runs has said so: how long a busy machine takes to load a program is none
+        of what is promised. One that was killed before it said so is not waited for."""
         end = time.monotonic() + wait
         for member in self.running:
-            log = self.folder / f"{member}.log"
-            while log.read_text().count('"member.started"') < self.starts[member]:
+            while not self.said(member, "member.started"):
                 if time.monotonic() > end:
                     raise TimeoutError(f"{member} did not start within {wait:.0f} s")
                 await asyncio.sleep(0.05)
 
+    def said(self, member: str, event: str) -> bool:
+        """Whether the member's present process has logged the event; earlier ones do not count."""
+        log = (self.folder / f"{member}.log").read_bytes()
+        return f'"{event}"'.encode() in log[self.log_starts[member] :]
+
     async def returned(self, acceptor: str, wait: float) -> bool:
         """Whether an acceptor says within that time that it grants again, after its last start."""
-        end, log = time.monotonic() + wait, self.folder / f"{acceptor}.log"
-        while (text := log.read_text()).rfind('"seat.returned"') < text.rfind('"member.started"'):
+        end = time.monotonic() + wait
+        while not self.said(acceptor, "seat.returned"):
             if time.monotonic() > end:
                 return False
             await asyncio.sleep(0.05)
