--- a/linenbridge/processor/http2.py
+++ b/linenbridge/processor/http2/connection.py
@@ -1,15 +1,13 @@
-"""gRPC over HTTP/2 for proxies: connections, their streams, and messages in and out.
+"""One peer's HTTP/2 connection: its streams from their opening to their status, and what waits to be written.
 
-Owns the listening port, every connection with its HTTP/2 state (by `h2`), every stream from its opening to
-its status, and what waits to be written. It must never read a message: a service is handed each whole one and
-gives back bytes and a status. Whatever a peer sends or withholds costs its own connection.
+Owns the connection's HTTP/2 state (by `h2`) and its account of what the peer costs. It must never read a
+message: a service is handed each whole one. Whatever a peer sends or withholds costs this connection alone.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
-from typing import Any, Protocol as Shape
+from typing import Any, Protocol as Interface
 
 import h2.config
 import h2.connection
@@ -18,73 +16,35 @@
 import h2.exceptions
 import h2.settings
 from hyperframe.frame import GoAwayFrame
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Protocol
 
 from linenbridge.net.log import Log
 from linenbridge.processor.frames import PREFACE, GoAways
+from linenbridge.processor.http2.status import INVALID_ARGUMENT, UNAVAILABLE, UNIMPLEMENTED, percent_encoded
+from linenbridge.processor.http2.stream import Call, MessageError, Peer, Receiver, framed
 from linenbridge.processor.limits import Account, Bounds
 
-# Statuses of gRPC, as published.
-OK, CANCELLED, INVALID_ARGUMENT, DEADLINE_EXCEEDED, NOT_FOUND = 0, 1, 3, 4, 5
-PERMISSION_DENIED, RESOURCE_EXHAUSTED, FAILED_PRECONDITION, UNIMPLEMENTED = 7, 8, 9, 12
-INTERNAL, UNAVAILABLE = 13, 14
-
-PREFIX = 5  # bytes before each message: whether it is compressed, and its length
-LAST_STREAM = (1 << 31) - 1
-WINDOW = 1 << 20  # what a whole connection may send before it is read
-SWEEP = 0.5  # seconds between two looks at what is overdue
+WINDOW = 1 << 20  # bytes that a whole connection may send before they are read
 GOAWAYS_MOST = 8
-LEAVE = 0.1  # seconds between the two words of a planned end
 
 HEAD = [(b":status", b"200"), (b"content-type", b"application/grpc")]
 
 
-class Receiver(Shape):
-    """What a service makes of one stream."""
-
-    def message(self, data: memoryview) -> None: ...
-    def half_closed(self) -> None: ...
-    def gone(self) -> None: ...
-
-
-class Call:
-    """One gRPC stream: opened by a peer, ended once, by either side."""
-
-    __slots__ = (
-        "connection", "ended", "half", "id", "opened", "queue", "queued", "receiver", "rest", "spoke",
-        "started",
-    )  # fmt: skip
-
-    def __init__(self, connection: Connection, stream: int, opened: int) -> None:
-        self.connection, self.id, self.opened = connection, stream, opened
-        self.receiver: Receiver | None = None
-        self.rest = b""
-        self.queue: deque[bytes] = deque()
-        self.queued = 0
-        self.started = self.ended = self.half = self.spoke = False
+class ConnectionOwner(Interface):
+    """What a connection needs of its server."""
 
-    @property
-    def peer(self) -> Peer:
-        return self.connection.peer
+    log: Log
+    bounds: Bounds
+    services: dict[bytes, Callable[[Call], Receiver]]
+    names: Callable[[Any], tuple[str, ...]]  # by the transport: the names in the peer's certificate
+    now: Callable[[], int]  # microseconds
+    silent: dict[Call, None]  # streams on which no message has come yet
+    dirty: list[Connection]  # connections with something to write
+    leaving: bool
 
-    def send(self, data: bytes) -> None:
-        """One message to the peer; nothing after the stream's end."""
-        if not self.ended:
-            self.connection.send(self, data)
-
-    def finish(self, status: int, text: str = "") -> None:
-        """The stream's one status; what was sent goes out before it."""
-        if not self.ended:
-            self.connection.finish(self, status, text)
-
-
-class Peer:
-    """Who is at the other end: the address, and the names that its certificate gives it."""
-
-    __slots__ = ("address", "names")
-
-    def __init__(self, address: str, names: tuple[str, ...] | None = None) -> None:
-        self.address, self.names = address, names
+    def flush_soon(self) -> None: ...
+    def closed(self, connection: Connection) -> None: ...
+    def left(self, connection: Connection) -> None: ...
 
 
 class Connection(Protocol):
@@ -92,7 +52,7 @@
 
     peer: Peer
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: ConnectionOwner) -> None:
         self.server = server
         self.calls: dict[int, Call] = {}
         self.stalled: dict[int, Call] = {}
@@ -265,41 +225,29 @@
             self._bound(self.account.control("empty", now))
         if call is None or call.ended or not event.data:
             return
-        buffer = call.rest + event.data if call.rest else event.data
-        view, start = memoryview(buffer), 0
-        while len(buffer) - start >= PREFIX:
-            length = int.from_bytes(view[start + 1 : start + PREFIX], "big")
-            if buffer[start]:
-                self.finish(call, UNIMPLEMENTED, "messages are taken as they are, not compressed")
-                return
-            if length > self.server.bounds.message:
-                self.finish(
-                    call, RESOURCE_EXHAUSTED, f"a message is longer than {self.server.bounds.message}"
-                )
-                return
-            if len(buffer) - start < PREFIX + length:
-                break
-            if not call.spoke:
-                call.spoke = True
-                self.server.silent.pop(call, None)
-            call.receiver.message(view[start + PREFIX : start + PREFIX + length])
-            start += PREFIX + length
-            if call.ended:
-                return
-        call.rest = buffer[start:]
+        try:
+            for message in call.read(event.data, self.server.bounds.message):
+                if not call.spoke:
+                    call.spoke = True
+                    self.server.silent.pop(call, None)
+                call.receiver.message(message)
+                if call.ended:
+                    return
+        except MessageError as error:
+            self.finish(call, error.status, error.text)
 
     # ---- what goes out ---------------------------------------------------------------------------
 
     def send(self, call: Call, data: bytes) -> None:
-        framed = b"\0" + len(data).to_bytes(4, "big") + data
+        message = framed(data)
         try:
             self._start(call)
-            if call.queue or len(framed) > self._window(call):
-                call.queue.append(framed)
-                call.queued += len(framed)
+            if call.queue or len(message) > self._window(call):
+                call.queue.append(message)
+                call.queued += len(message)
                 self.stalled[call.id] = call
             else:
-                self.h2.send_data(call.id, framed)
+                self.h2.send_data(call.id, message)
         except h2.exceptions.ProtocolError:
             self._over(call, gone=True)
             return
@@ -338,7 +286,7 @@
         blame, so that nothing more is sent on it. What a stalled peer has not taken is dropped."""
         end = [(b"grpc-status", b"%d" % status)]
         if text:
-            end.append((b"grpc-message", _percent(text)))
+            end.append((b"grpc-message", percent_encoded(text)))
         self.server.log.count("stream.status", str(status))
         try:
             if call.queue:
@@ -407,114 +355,3 @@
 
     def highest(self) -> int:
         return self.h2.highest_inbound_stream_id
-
-
-class Server(Factory):
-    """All proxies' connections of one gateway."""
-
-    noisy = False
-
-    def __init__(
-        self, reactor: Any, now: Callable[[], int], bounds: Bounds, connections: int, log: Log,
-        names: Callable[[Any], tuple[str, ...]] = lambda transport: (),
-    ) -> None:  # fmt: skip
-        self.reactor, self.now, self.bounds, self.most, self.log = reactor, now, bounds, connections, log
-        self.names = names
-        self.services: dict[bytes, Callable[[Call], Receiver]] = {}
-        self.open: dict[Connection, None] = {}
-        self.silent: dict[Call, None] = {}
-        self.dirty: list[Connection] = []
-        self.flushing: Any = None
-        self.sweeping: Any = None
-        self.port: Any = None
-        self.leaving = False
-        self.stopped: Callable[[], None] | None = None
-
-    def buildProtocol(self, addr: Any) -> Connection | None:
-        if len(self.open) >= self.most or self.leaving:
-            self.log.count("proxy.turned_away")
-            return None
-        connection = Connection(self)
-        self.open[connection] = None
-        self.log.count("proxy.connected")
-        if self.sweeping is None:
-            self.sweeping = self.reactor.callLater(SWEEP, self._sweep)
-        return connection
-
-    def closed(self, connection: Connection) -> None:
-        self.open.pop(connection, None)
-        self._last()
-
-    def flush_soon(self) -> None:
-        if self.flushing is None:
-            self.flushing = self.reactor.callLater(0, self.flush)
-
-    def flush(self) -> None:
-        """Each connection's answers of a turn in one write."""
-        if self.flushing is not None:
-            if self.flushing.active():
-                self.flushing.cancel()
-            self.flushing = None
-        dirty, self.dirty = self.dirty, []
-        for connection in dirty:
-            connection.flush()
-
-    def _sweep(self) -> None:
-        """Streams on which nothing was said, connections that are idle or do not read."""
-        self.sweeping, now = None, self.now()
-        before = now - self.bounds.first_word
-        for call in [call for call in self.silent if call.opened <= before]:
-            self.log.count("stream.silent")
-            call.finish(DEADLINE_EXCEEDED, "nothing was said on this stream in time")
-        for connection in list(self.open):
-            if (why := connection.account.overdue(now)) is not None:
-                connection.end(why, h2.errors.ErrorCodes.NO_ERROR if why == "idle" else None)
-            elif not connection.greeted and connection.born <= before:
-                connection.end("it does not begin as HTTP/2 does")
-        self.flush()
-        if self.open:
-            self.sweeping = self.reactor.callLater(SWEEP, self._sweep)
-
-    # ---- the planned end -------------------------------------------------------------------------
-
-    def leave(self, within: float, stopped: Callable[[], None]) -> None:
-        """No new connections; each peer is told to go elsewhere, what is open ends within its time."""
-        self.leaving, self.stopped = True, stopped
-        for connection in list(self.open):
-            connection.say_leaving(LAST_STREAM)
-        self.reactor.callLater(LEAVE, self._leave_now)
-        self.cut = self.reactor.callLater(within, self._cut)
-
-    def _leave_now(self) -> None:
-        for connection in list(self.open):
-            connection.say_leaving(connection.highest())
-            if not connection.calls:
-                self.left(connection)
-        self._last()
-
-    def left(self, connection: Connection) -> None:
-        """Its last stream has ended."""
-        connection.flush()
-        if not connection.lost:
-            connection.transport.loseConnection()
-
-    def _cut(self) -> None:
-        for connection in list(self.open):
-            connection.end("this gateway stops", h2.errors.ErrorCodes.NO_ERROR)
-        self._last()
-
-    def _last(self) -> None:
-        if self.leaving and not self.open and self.stopped is not None:
-            stopped, self.stopped = self.stopped, None
-            for timer in (self.cut, self.sweeping):
-                if timer is not None and timer.active():
-                    timer.cancel()
-            stopped()
-
-
-def _percent(text: str) -> bytes:
-    """A status message as gRPC words it: plain ASCII, the rest by percent."""
-    return b"".join(
-        bytes((byte,)) if 0x20 <= byte <= 0x7E and byte != 0x25 else b"%%%02X" % byte
-        for byte in text.encode()[:1024]
-    )
--- /dev/null
+++ b/linenbridge/processor/http2/status.py
@@ -0,0 +1,17 @@
+"""The statuses of gRPC, as published, and how a status message is written into its trailer."""
+
+from __future__ import annotations
+
+OK, CANCELLED, INVALID_ARGUMENT, DEADLINE_EXCEEDED, NOT_FOUND = 0, 1, 3, 4, 5
+PERMISSION_DENIED, RESOURCE_EXHAUSTED, FAILED_PRECONDITION, UNIMPLEMENTED = 7, 8, 9, 12
+INTERNAL, UNAVAILABLE = 13, 14
+
+MESSAGE_MOST = 1024  # bytes of a status message before it is encoded
+
+
+def percent_encoded(text: str) -> bytes:
+    """A status message as gRPC words it: plain ASCII, the rest by percent."""
+    return b"".join(
+        bytes((byte,)) if 0x20 <= byte <= 0x7E and byte != 0x25 else b"%%%02X" % byte
+        for byte in text.encode()[:MESSAGE_MOST]
+    )
--- /dev/null
+++ b/linenbridge/processor/http2/stream.py
@@ -0,0 +1,102 @@
+"""One gRPC stream: its messages as they are cut from HTTP/2 data, its state, and the service behind it.
+
+Owns what has come of a message so far and what waits to be sent. It must never look into a message.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from typing import Protocol
+
+from linenbridge.processor.http2.status import RESOURCE_EXHAUSTED, UNIMPLEMENTED
+
+PREFIX = 5  # bytes before each message: whether it is compressed, and its length
+
+
+class MessageError(Exception):
+    """A message that is not taken; the stream ends with `status` and `text`."""
+
+    advice = "the proxy sends uncompressed messages within the settings' `bounds message`"
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(status, text)
+        self.status, self.text = status, text
+
+
+def framed(data: bytes) -> bytes:
+    """A message with its prefix, as it goes out."""
+    return b"\0" + len(data).to_bytes(PREFIX - 1, "big") + data
+
+
+class Receiver(Protocol):
+    """What a service makes of one stream."""
+
+    def message(self, data: memoryview) -> None: ...
+    def half_closed(self) -> None: ...
+    def gone(self) -> None: ...
+
+
+class Peer:
+    """Who is at the other end: the address, and the names that its certificate gives it."""
+
+    __slots__ = ("address", "names")
+
+    def __init__(self, address: str, names: tuple[str, ...] | None = None) -> None:
+        self.address, self.names = address, names
+
+
+class Sender(Protocol):
+    """What a stream needs of its connection."""
+
+    peer: Peer
+
+    def send(self, call: Call, data: bytes) -> None: ...
+    def finish(self, call: Call, status: int, text: str) -> None: ...
+
+
+class Call:
+    """One gRPC stream: opened by a peer, ended once, by either side."""
+
+    __slots__ = (
+        "connection", "ended", "half", "id", "opened", "queue", "queued", "receiver", "rest", "spoke",
+        "started",
+    )  # fmt: skip
+
+    def __init__(self, connection: Sender, stream: int, opened: int) -> None:
+        self.connection, self.id, self.opened = connection, stream, opened
+        self.receiver: Receiver | None = None
+        self.rest = b""  # the beginning of a message whose end has not come
+        self.queue: deque[bytes] = deque()
+        self.queued = 0
+        self.started = self.ended = self.half = self.spoke = False
+
+    @property
+    def peer(self) -> Peer:
+        return self.connection.peer
+
+    def send(self, data: bytes) -> None:
+        """One message to the peer; nothing after the stream's end."""
+        if not self.ended:
+            self.connection.send(self, data)
+
+    def finish(self, status: int, text: str = "") -> None:
+        """The stream's one status; what was sent goes out before it."""
+        if not self.ended:
+            self.connection.finish(self, status, text)
+
+    def read(self, data: bytes, longest: int) -> Iterator[memoryview]:
+        """Each message that is whole by now, one at a time; MessageError for one that is not taken."""
+        buffer = self.rest + data if self.rest else data
+        view, start = memoryview(buffer), 0
+        while len(buffer) - start >= PREFIX:
+            length = int.from_bytes(view[start + 1 : start + PREFIX], "big")
+            if buffer[start]:
+                raise MessageError(UNIMPLEMENTED, "messages are taken as they are, not compressed")
+            if length > longest:
+                raise MessageError(RESOURCE_EXHAUSTED, f"a message is longer than {longest}")
+            if len(buffer) - start < PREFIX + length:
+                break
+            yield view[start + PREFIX : start + PREFIX + length]
+            start += PREFIX + length
+        self.rest = buffer[start:]
