--- a/linenbridge/drill/first_try.py
+++ b/linenbridge/drill/first_try.py
@@ -14,7 +14,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from linenbridge.drill.processor import KINDS, PATHS, Drill
+from linenbridge.drill.deployment import KINDS, PATHS
+from linenbridge.drill.processor import Drill
 from linenbridge.drill.standin_client import Client
 from linenbridge.drill.standin_proxy import Ask, Proxy, Told
 
--- a/linenbridge/drill/processor.py
+++ b/linenbridge/drill/processor.py
@@ -8,18 +8,14 @@
 from __future__ import annotations
 
 import json
-import os
 import shutil
 import signal
-import subprocess
 import sys
 import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 from pathlib import Path
-from random import Random
 from typing import Any
 
 from hdrh.histogram import HdrHistogram
@@ -28,205 +24,13 @@
 from twisted.internet.task import deferLater
 
 from linenbridge.drill import checker
+from linenbridge.drill.deployment import KINDS, SETTINGS, TERMS, configuration
+from linenbridge.drill.plan import plan
+from linenbridge.drill.process import Process, free_port
+from linenbridge.drill.report import PERCENTILES, Day, Report
 from linenbridge.drill.standin_client import Client
 from linenbridge.drill.standin_proxy import Ask, Proxy, Told
-from linenbridge.drill.standin_world import LOOPBACK, Kind, News, World
-
-KINDS = {
-    "quote": Kind("quote", 0.012, True, 0.25, 1.0, 3.0),
-    "lookup": Kind("lookup", 0.008, True, 0.25, 1.0, 1.0),
-    "confirm": Kind("confirm", 0.010, False, 0.25, 1.0, 5.0),
-}
-PATHS = {
-    "quote": ("/v1/quote/a", "GET"),
-    "lookup": ("/v1/slots?day=3", "GET"),
-    "confirm": ("/v1/bookings", "POST"),
-}
-SHARES = {"quote": 0.5, "lookup": 0.35, "confirm": 0.15}
-AMISS = ("reset-before-read", "impatient", "leave-after-hand-out", "silent")
-SETTINGS = """<linenbridge xmlns="urn:linenbridge:premises:1">
-  <processor listen="127.0.0.1:{port}">
-    <tickets use-within="100ms" remember="1m"/>
-    <store file="handed.db"/>
-    <proof status="503" header="x-never-ran" value="1"/>
-    <partner name="desk" address="127.0.0.0/8" ours="true" attempts="3" fail-open="{fail_open}"/>
-    <routes><![CDATA[
-route quotes   {{ when path starts "/v1/quote/" and verb is "GET"  method "quote"
-                  tenant header("x-tenant") else "none" deadline 1s }}
-route slots    {{ when path is "/v1/slots"      method "lookup"  tenant header("x-tenant")  deadline 1s }}
-route bookings {{ when path is "/v1/bookings" and verb is "POST"  method "confirm"
-                  tenant header("x-tenant")  deadline 1s }}
-    ]]></routes>
-  </processor>
-</linenbridge>
-"""
-PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
-TERMS = checker.Terms(spare=3.0, span=2.0, grace=0.6, slack=0.15, closed_stages=1)
-
-
-def _configuration(world: World, listen: int) -> dict[str, Any]:
-    """What the platform would tell a gateway of this deployment."""
-    profiles = [
-        {"name": kind.name, "aim": kind.soft, "give_up": kind.deadline, "worth": kind.utility,
-         "idempotency": "repeatable" if kind.idempotent else "once"}
-        for kind in KINDS.values()
-    ]  # fmt: skip
-    return {
-        "name": "drill", "listen": f"{LOOPBACK}:{listen}", "discovery": world.discovery, "seed": "2a",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "platform": {"address": world.platform, "news": world.state()},
-        "known": world.listing(True),
-        "settings": {
-            "discovery": "push", "profiles": profiles, "balancers": 1, "slot_no": 0,
-            "family_info": {
-                "gate_mode": "share", "style": "beside", "shares": [0.2, 1.0], "caps": [0.2, 1.0],
-                "closed_stages": 1, "per": "all", "spare_tries": 3.0, "forward_only": False,
-                "vote_stands": 6.0, "answer_wait": 1.0,
-            },
-            "permissions": {
-                "max_attempts": 3, "second_copies": False, "may_cancel": True, "retry_after": True,
-                "max_retry_after": 1.0, "idle_close": 15.0, "connect_timeout": 0.25,
-            },
-            "rules": {"cold_from": 0.4, "cold": 2.0, "fall_multiple": 3.0},
-        },
-    }  # fmt: skip
-
-
-def free_port() -> int:
-    import socket
-
-    with socket.socket() as found:
-        found.bind((LOOPBACK, 0))
-        return found.getsockname()[1]
-
-
-class Process:
-    """One process of ours: started, waited for, and ended by its id."""
-
-    def __init__(self, arguments: list[str], environ: dict[str, str], folder: Path, name: str) -> None:
-        self.lines = folder / f"{name}.log"
-        self.arguments, self.environ = arguments, environ
-        self.process: subprocess.Popen | None = None
-        self.anew: Callable[[], object] = lambda: None
-        self.start()
-
-    def start(self) -> None:
-        self.anew()
-        with open(self.lines, "ab") as lines:
-            self.process = subprocess.Popen(
-                self.arguments, stderr=lines, stdout=lines, env={**os.environ, **self.environ}
-            )
-
-    def events(self, name: str) -> list[dict]:
-        found = []
-        for line in self.lines.read_text().splitlines():
-            if line.startswith("{") and (event := json.loads(line)).get("event") == name:
-                found.append(event)
-        return found
-
-    def cpu(self) -> float:
-        """Processor seconds used so far."""
-        if self.process is None:
-            return 0.0
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-    def memory_mb(self) -> float:
-        if self.process is None:
-            return 0.0
-        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
-
-    def end(self, number: int = signal.SIGTERM) -> None:
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def wait(self, seconds: float = 5.0) -> int | None:
-        """The exit code; a process that does not end in time is killed."""
-        if self.process is None:
-            return None
-        try:
-            return self.process.wait(seconds)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait(5.0)
-            return None
-
-
-@dataclass
-class Day:
-    """What one day showed."""
-
-    name: str
-    requests: int = 0
-    outcomes: dict[str, int] = field(default_factory=dict)
-    g: float = 0.0
-    broken: list[str] = field(default_factory=list)
-    waits_ms: dict[str, float] = field(default_factory=dict)
-    cpu_us: float = 0.0  # of the process asked, for each request
-    streams_per_core: float = 0.0
-    memory_mb: float = 0.0
-    notes: list[str] = field(default_factory=list)
-
-
-@dataclass
-class Report:
-    """All days of a drill."""
-
-    seed: int
-    days: list[Day] = field(default_factory=list)
-
-    def broken(self) -> bool:
-        return any(day.broken for day in self.days)
-
-    def as_dict(self) -> dict[str, Any]:
-        return {"seed": self.seed, "days": [vars(day) for day in self.days], "ratios": self.ratios()}
-
-    def ratios(self) -> dict[str, float]:
-        days = {day.name: day for day in self.days}
-        found: dict[str, float] = {}
-        if "processor" in days and "empty" in days:
-            ours, empty = days["processor"], days["empty"]
-            for name, value in ours.waits_ms.items():
-                found[f"{name} over empty"] = round(value / max(empty.waits_ms[name], 1e-3), 2)
-            found["streams a core second over empty"] = round(
-                ours.streams_per_core / empty.streams_per_core, 2
-            )
-        if "processor" in days and "resp2" in days:
-            found["G less G by RESP2"] = round(days["processor"].g - days["resp2"].g, 4)
-        return found
-
-    def as_text(self) -> str:
-        lines = [f"simulated servers and a stand-in proxy on loopback, seed {self.seed}", ""]
-        head = f"{'day':14}{'requests':>9}{'G':>8}{'broken':>8}" + "".join(
-            f"{f'p{p:g} ms':>10}" for p in PERCENTILES
-        )
-        lines.append(head + f"{'us/req':>9}{'streams/core s':>16}{'MB':>7}")
-        for day in self.days:
-            waits = "".join(f"{day.waits_ms.get(f'p{p:g}', 0.0):10.2f}" for p in PERCENTILES)
-            lines.append(
-                f"{day.name:14}{day.requests:9}{day.g:8.3f}{len(day.broken):8}{waits}"
-                f"{day.cpu_us:9.0f}{day.streams_per_core:16.0f}{day.memory_mb:7.1f}"
-            )
-        for day in self.days:
-            lines.append(
-                f"{day.name}: " + ", ".join(f"{what} {count}" for what, count in day.outcomes.items())
-            )
-            lines += [f"  broken: {what}" for what in day.broken[:20]] + [f"  {note}" for note in day.notes]
-        lines += [f"{name}: {value}" for name, value in self.ratios().items()]
-        return "\n".join(lines)
-
-
-def plan(seed: int, rate: float, seconds: float, amiss: float) -> list[Ask]:
-    """A day's requests: open loop, exponential gaps, faults by share."""
-    chance, at, asks = Random(f"day/{seed}"), 0.0, []
-    names, shares = list(SHARES), list(SHARES.values())
-    while (at := at + chance.expovariate(rate)) < seconds:
-        method = chance.choices(names, shares)[0]
-        fault = chance.choice(AMISS) if chance.random() < amiss else ""
-        path, verb = PATHS[method]
-        asks.append(Ask(f"{chance.getrandbits(64):016x}", method, at, path, verb, fault))
-    return asks
+from linenbridge.drill.standin_world import News, World
 
 
 class Drill:
@@ -248,12 +52,12 @@
         folder = Path(tempfile.mkdtemp(dir=self.folder))
         listen, port = free_port(), free_port()
         process_file = folder / "config.json"
-        process_file.write_text(json.dumps(_configuration(world, listen)))
+        process_file.write_text(json.dumps(configuration(world, listen)))
         (folder / "settings.xml").write_text(SETTINGS.format(port=port, fail_open=str(fail_open).lower()))
         environ = {"LB_CONFIG": str(folder / "config.json"), "LB_SETTINGS": str(folder / "settings.xml")}
         process = Process([sys.executable, "-m", "linenbridge", command], environ, folder, command)
         # What the platform tells at a start is the list as it stands then.
-        process.anew = lambda: process_file.write_text(json.dumps(_configuration(world, listen)))
+        process.anew = lambda: process_file.write_text(json.dumps(configuration(world, listen)))
         self.processes.append(process)
         return process, listen, port
 
--- a/linenbridge/drill/transport.py
+++ b/linenbridge/drill/transport.py
@@ -21,7 +21,8 @@
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import deferLater
 
-from linenbridge.drill.processor import KINDS, PATHS, Process, free_port
+from linenbridge.drill.deployment import KINDS, PATHS
+from linenbridge.drill.process import Process, free_port
 from linenbridge.drill.standin_proxy import Ask, Proxy, Told
 from linenbridge.drill.standin_world import World
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from linenbridge.drill import checker
-from linenbridge.drill.processor import KINDS, TERMS, plan
+from linenbridge.drill.deployment import KINDS, TERMS
+from linenbridge.drill.plan import plan
 from linenbridge.drill.standin_proxy import Ask, Told
 from linenbridge.drill.standin_world import Ran, World
 
