--- /dev/null
+++ b/tests/processor/helpers.py
@@ -0,0 +1,31 @@
+"""What several of the processor's tests need: addresses that may be handed out, a store, plain messages."""
+
+from __future__ import annotations
+
+from linenbridge.processor import wire_pb2 as wire
+from linenbridge.processor.store import Store
+from tests.peer_script import ADDRESSES
+
+READY = {f"{host}:{port}" for _, (host, port) in ADDRESSES}
+
+
+def store(tmp_path, bench_clock=lambda: 1_000_000.0) -> Store:
+    return Store(str(tmp_path / "handed.db"), "process", lambda *_, **__: None, bench_clock)
+
+
+def body() -> wire.ProcessingRequest:
+    message = wire.ProcessingRequest()
+    message.request_body.body = b"x"
+    return message
+
+
+def trailers() -> wire.ProcessingRequest:
+    message = wire.ProcessingRequest()
+    message.request_trailers.SetInParent()
+    return message
+
+
+def answered() -> wire.ProcessingRequest:
+    message = wire.ProcessingRequest()
+    message.response_headers.headers.headers.add(key=":status", value="200")
+    return message
--- /dev/null
+++ b/tests/processor/test_bounds.py
@@ -0,0 +1,32 @@
+"""A full ledger: it pushes back, keeps room for other proxies, and forgets nothing that may have run."""
+
+from __future__ import annotations
+
+from linenbridge.processor.tickets import TicketTerms
+from tests.helpers import MS
+from tests.peer_script import Bench
+from tests.processor.helpers import READY
+
+
+def test_a_full_ledger_pushes_back_and_keeps_a_place_for_the_other_proxy():
+    bench = Bench(terms=TicketTerms(100 * MS, 100 * MS, 60_000 * MS, 10, 20))
+    peer = bench.peer()
+    streams = [peer.ask(request=f"r{n}") for n in range(12)]
+    assert [stream.immediate for stream in streams[10:]] == [503, 503]
+    bench.turn(1.0)
+    held = [peer.ask(request=f"s{n}") for n in range(6)]
+    bench.partners[0] = type(bench.partner)("other", True, 3, False)
+    others = [peer.ask(request=f"o{n}") for n in range(2)]
+    assert all(stream.endpoint for stream in held + others)
+
+
+def test_ids_that_may_have_run_are_never_forgotten_for_room():
+    bench = Bench(terms=TicketTerms(100 * MS, 100 * MS, 60_000 * MS, 100, 5), attempts=1)
+    peer = bench.peer()
+    for n in range(5):
+        peer.report(peer.ask("/charge/1", f"r{n}"), 200)
+    assert peer.ask("/charge/1", "new").immediate == 503
+    assert peer.ask("/charge/1", "r0").immediate == 502
+    assert peer.ask("/look/1", "new").endpoint in READY
+    bench.turn(61.0)
+    assert peer.ask("/charge/1", "new").endpoint in READY
--- /dev/null
+++ b/tests/processor/test_deadlines.py
@@ -0,0 +1,94 @@
+"""Time and change: tickets that run out, instances that drain, builds on trial."""
+
+from __future__ import annotations
+
+from linenbridge import interface as face
+from tests.helpers import MS, entry
+from tests.peer_script import ADDRESSES, Bench
+from tests.processor.helpers import READY
+
+
+def test_what_is_given_up_is_answered_at_once_and_says_when_to_return():
+    bench = Bench(instances=0)
+    peer = bench.peer()
+    stream = peer.ask(x_wait="200")
+    bench.turn(0.25)
+    peer.read()
+    assert stream.immediate == 503 and stream.header("retry-after") == "1"
+    assert stream.header("x-linenbridge-retry-after-ms") == "1000"
+    assert bench.empty()
+
+
+def test_a_ticket_of_which_nothing_is_said_may_have_run_and_tells_nothing_of_its_instance():
+    bench = Bench()
+    peer = bench.peer()
+    stream = peer.ask("/charge/1")
+    before = list(bench.module.fleet.strikes)
+    bench.turn(1.0)
+    peer.read()
+    assert bench.empty() and bench.module.fleet.strikes == before and not any(bench.module.fleet.out)
+    assert peer.ask("/charge/1", attempt=2).immediate == 502
+    peer.report(stream, 200)
+    assert stream.answers[-1].HasField("response_headers")
+
+
+def test_a_pick_kept_for_the_next_attempt_is_given_back_when_none_comes_in_time():
+    bench = Bench()
+    peer = bench.peer()
+    first = peer.ask()
+    peer.report(first, 500)
+    assert first.header("x-linenbridge-again") == "1"
+    bench.turn(0.2)
+    assert bench.empty() and bench.counts("ended", "look", "unsent") == 1
+    again = peer.ask(attempt=2)
+    assert again.endpoint in READY
+
+
+def test_nothing_goes_to_an_instance_that_drained_between_decision_and_attempt():
+    bench = Bench()
+    peer = bench.peer()
+    first = peer.ask()
+    peer.report(first, 500)
+    kept = next(iter(bench.front.ledger.by_id.values())).reserved().instance
+    bench.list([(entry(kept, state=face.DRAINING), ("10.0.0.1", 7000 + kept))], whole=False)
+    second = peer.ask(attempt=2)
+    assert second.endpoint in READY - {f"10.0.0.1:{7000 + kept}"}
+
+
+def test_every_ticket_must_be_used_well_within_the_grace_for_drains():
+    bench = Bench()
+    peer = bench.peer()
+    for n in range(8):
+        peer.ask(request=f"r{n}")
+    for found in bench.front.ledger.by_id.values():
+        assert found.last().use_by - found.last().decided <= 100 * MS
+
+
+def test_a_stage_and_a_list_that_change_between_decision_and_outcome():
+    bench = Bench()
+    peer = bench.peer()
+    streams = [peer.ask(request=f"r{n}") for n in range(8)]
+    bench.stage(2, 0, face.ON_TRIAL, 0.2)
+    bench.list([(entry(9, build=2), ("10.0.0.1", 7009))], whole=True)
+    for stream in streams:
+        peer.report(stream, 200)
+    assert bench.empty() and bench.counts("answered", "look", "ok") == 8
+
+
+def test_the_cap_on_a_build_on_trial_holds_for_what_is_handed_out():
+    bench = Bench(closed_stages=1)
+    peer, trial, taken = bench.peer(), 0, 0
+    bench.list([*ADDRESSES, (entry(9, build=2), ("10.0.0.1", 7009))])
+    bench.stage(2, 0, face.ON_TRIAL, 0.2)
+    for n in range(300):
+        path = ("/look/1", "/charge/1")[n % 2]
+        stream = peer.ask(path, f"r{n}")
+        taken += 1
+        if stream.endpoint == "10.0.0.1:7009":
+            trial += 1
+            assert path == "/look/1"
+        assert trial <= 2 + 0.2 * taken
+        peer.report(stream, 200)
+        peer.done(stream)
+        bench.turn(0.01)
+    assert trial > 0.1 * taken
--- /dev/null
+++ b/tests/processor/test_restarts.py
@@ -0,0 +1,64 @@
+"""What outlives the process, and its planned end."""
+
+from __future__ import annotations
+
+from linenbridge.processor import http2
+from tests.peer_script import Bench
+from tests.processor.helpers import READY, store
+
+
+def test_what_an_earlier_life_handed_out_is_refused_after_a_kill(tmp_path):
+    first = Bench(store=store(tmp_path))
+    given = first.peer().ask("/charge/1", "r1")
+    assert given.endpoint in READY  # No close, no end: the process is gone.
+    first.front.store.connection.close(True)
+    second = Bench(store=store(tmp_path))
+    peer = second.peer()
+    assert peer.ask("/charge/1", "r1").immediate == 502
+    assert peer.ask("/charge/1", "r2").endpoint in READY
+    assert peer.ask("/look/1", "r1").endpoint in READY
+
+
+def test_without_a_store_a_repeat_is_refused_by_its_count_and_the_log_says_so():
+    bench = Bench()
+    assert "store.none" in bench.events()
+    assert bench.peer().ask("/charge/1", attempt=2).immediate == 502
+    assert bench.peer().ask("/look/1", attempt=2).endpoint in READY
+
+
+def test_a_store_that_fails_leaves_the_gateway_serving(tmp_path):
+    bench = Bench(store=store(tmp_path))
+    peer = bench.peer()
+    bench.front.store.connection.close(True)
+    assert peer.ask("/charge/1").endpoint in READY
+    assert not bench.front.store.serves
+    assert peer.ask("/charge/2", "r2").endpoint in READY
+
+
+def test_a_planned_stop_says_goodbye_and_lets_streams_end():
+    bench = Bench()
+    peer, ended = bench.peer(), []
+    stream = peer.ask()
+    bench.health.say(False)
+    bench.server.leave(3.0, lambda: ended.append(1))
+    bench.turn()
+    peer.read()
+    assert peer.goaways == [(1 << 31) - 1]
+    bench.turn(0.2)
+    peer.read()
+    assert peer.goaways[-1] == stream.number and not ended
+    peer.report(stream, 200)
+    assert stream.answers[-1].HasField("response_headers")
+    peer.h2.end_stream(stream.number)
+    peer.deliver()
+    assert stream.status == "0" and ended and bench.empty()
+
+
+def test_a_stream_that_opens_after_goodbye_hears_unavailable():
+    bench = Bench()
+    peer = bench.peer()
+    kept = peer.ask()
+    bench.server.leave(3.0, lambda: None)
+    bench.turn(0.05)
+    late = peer.ask(request="late")
+    assert late.status == str(http2.UNAVAILABLE) and kept.status is None
