Distribution: versioned changes, their messages and errors, and the cores' interfaces

Cause: nothing tells a fleet of a change today but a file and SIGHUP at each gateway; the parts to be built need one wire and one contract. Nothing imports it yet.

--- /dev/null
+++ b/linenbridge/distribution/changes.py
@@ -0,0 +1,141 @@
+"""Versioned changes: what is published, who owns it, and how its bytes are checked.
+
+Decides without I/O. A change names one key, owned by one region, and its new value. Versions of one region
+are ordered by (epoch, sequence): the epoch is the term of the publisher's lease, the sequence the place in
+the region's log, dense from 1. Only what a majority of the region's relays has on disk is ever handed to a
+follower, so two changes of a region never share a sequence outside its relays.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from hashlib import blake2b
+from zlib import crc32
+
+import msgspec
+from msgspec import Struct
+
+RANGES = 1024  # parts that a region's keys are divided into, for digests and for whole transfers
+VALUE_MOST = 48_000  # bytes of one value: a change has to fit into one message of a link
+NAME_MOST = 256  # characters of one key's name
+_MASK = (1 << 64) - 1
+
+
+class Kind(IntEnum):
+    """What a key is about, and with it the form of its value."""
+
+    ROUTES = 1  # name: a service (authority); value: its rules in the routes' language, UTF-8
+    TENANT = 2  # name: a tenant; value: TenantValue
+    INSTANCE = 3  # name: service/instance; value: InstanceValue
+    ZONE = 4  # name: a zone; value: ZoneValue
+
+
+class TenantValue(Struct, array_like=True, frozen=True):
+    """The share of the load that a tenant may take, 0 to 1."""
+
+    share: float
+
+
+class InstanceValue(Struct, array_like=True, frozen=True):
+    """What the instance list says of one instance, with its address. `state` as in interface.py; `started`
+    is Unix time in milliseconds."""
+
+    build: int
+    zone: str
+    cell: str
+    state: int
+    size: float
+    started: int
+    host: str
+    port: int
+
+
+class ZoneValue(Struct, array_like=True, frozen=True):
+    """A zone that is lost has no instance that is ready, whatever its instances' own entries say: one
+    change."""
+
+    lost: bool
+
+
+class Version(Struct, array_like=True, frozen=True, order=True):
+    """One place in a region's log."""
+
+    epoch: int
+    sequence: int
+
+
+START = Version(0, 0)
+
+
+class Position(Struct, array_like=True, frozen=True):
+    """How far somebody is in one region's log. All positions of a follower are its version vector."""
+
+    region: str
+    epoch: int
+    sequence: int
+
+    @property
+    def version(self) -> Version:
+        return Version(self.epoch, self.sequence)
+
+
+class Change(Struct, array_like=True, frozen=True):
+    """One key's new value; an empty one deletes it. `checksum` is over all the rest, by the publisher."""
+
+    region: str
+    epoch: int
+    sequence: int
+    kind: int
+    name: str
+    value: bytes
+    checksum: int = 0
+
+    @property
+    def version(self) -> Version:
+        return Version(self.epoch, self.sequence)
+
+    @property
+    def key(self) -> tuple[int, str]:
+        return self.kind, self.name
+
+
+def _checksum(change: Change) -> int:
+    return crc32(msgspec.msgpack.encode(msgspec.structs.replace(change, checksum=0)))
+
+
+def sealed(region: str, version: Version, kind: int, name: str, value: bytes) -> Change:
+    """A change with its checksum."""
+    change = Change(region, version.epoch, version.sequence, kind, name, value)
+    return msgspec.structs.replace(change, checksum=_checksum(change))
+
+
+def intact(change: Change) -> bool:
+    """Whether the bytes are those that the publisher sealed."""
+    return change.checksum == _checksum(change)
+
+
+def group_of(kind: int, name: str) -> str:
+    """What is kept and transferred together: the instances of one service, else each key by itself."""
+    return name.partition("/")[0] if kind == Kind.INSTANCE else name
+
+
+def range_of(kind: int, name: str) -> int:
+    """Which of a region's RANGES a key belongs to."""
+    return crc32(f"{kind}/{group_of(kind, name)}".encode()) % RANGES
+
+
+def digest_of(change: Change) -> int:
+    """64 bits that stand for one key at one version and value. A table's digest is their sum modulo 2**64,
+    in any order; a deletion adds nothing."""
+    if not change.value:
+        return 0
+    words = msgspec.msgpack.encode((change.region, change.epoch, change.sequence, change.kind, change.name))
+    return int.from_bytes(blake2b(words + change.value, digest_size=8).digest(), "big")
+
+
+def added(digest: int, change: Change) -> int:
+    return (digest + digest_of(change)) & _MASK
+
+
+def removed(digest: int, change: Change) -> int:
+    return (digest - digest_of(change)) & _MASK
--- /dev/null
+++ b/linenbridge/distribution/decisions.py
@@ -0,0 +1,82 @@
+"""What a core of the distribution asks of its host, as typed values.
+
+Owns their form. A host calls a core's `on_...` inputs, then pulls `next_decision(now)` until it is None, carries
+each out in order, and wakes the core at `wake_at()`.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct, field
+
+from linenbridge.distribution.changes import Change, Version
+from linenbridge.distribution.messages import Message
+
+
+class Send(Struct, frozen=True):
+    """A message to a name; one that cannot be reached loses it, as on any network."""
+
+    to: str
+    message: Message
+
+
+class Keep(Struct, frozen=True):
+    """A replica's log on disk: entries behind `truncate_after` are dropped first (None: none are), then `changes`
+    are appended; `epoch` and `committed` are kept with them. Once all is on disk, `then` is sent and
+    `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
+
+    number: int
+    truncate_after: int | None
+    changes: list[Change]
+    epoch: int
+    committed: int
+    then: list[Send] = field(default_factory=list)
+
+
+class Committed(Struct, frozen=True):
+    """Entries that a majority has, in order: for the relay's feed."""
+
+    region: str
+    changes: list[Change]
+
+
+class Apply(Struct, frozen=True):
+    """Changes for the view, in force together between two requests; then the follower is at `upto`. The host
+    answers with `Follower.on_applied`. `digest` is the relay's at `upto`, where it said so."""
+
+    region: str
+    upto: Version
+    changes: list[Change]
+    digest: int | None = None
+
+
+class ReplaceRange(Struct, frozen=True):
+    """The complete content of one range of a region's keys at `upto`: keys at versions up to it that are not
+    named are gone. With `final` the follower is at `upto`."""
+
+    region: str
+    upto: Version
+    range: int
+    changes: list[Change]
+    final: bool
+
+
+class Dial(Struct, frozen=True):
+    """Keep a link to this relay."""
+
+    relay: str
+
+
+class HangUp(Struct, frozen=True):
+    """Let the link to this relay go."""
+
+    relay: str
+
+
+class Event(Struct, frozen=True):
+    """One structured line of the log."""
+
+    name: str
+    fields: dict[str, object]
+
+
+Decision = Send | Keep | Committed | Apply | ReplaceRange | Dial | HangUp | Event
--- /dev/null
+++ b/linenbridge/distribution/errors.py
@@ -0,0 +1,70 @@
+"""Errors and refusals of the distribution: what happened, where, and what an operator can do.
+
+Owns the kinds and their codes. It must never know a core.
+"""
+
+from __future__ import annotations
+
+from linenbridge.fleet.errors import FleetError, Refusal
+
+
+class OlderEpoch(Refusal):
+    """A publisher that has been replaced; nothing of it is taken any more."""
+
+    code = "older_epoch"
+    advice = "none: its successor goes on; an author asks again and reaches the successor"
+
+
+class LogGap(Refusal):
+    """Entries that do not follow on what the relay has."""
+
+    code = "gap"
+    advice = "none: the publisher sends from where both agree"
+
+
+class RelayFull(Refusal):
+    """The relay serves as many followers as it may."""
+
+    code = "full"
+    advice = "start more relays in this region, or raise `followers` where the machine has room"
+
+
+class ForeignKey(Refusal):
+    """The key belongs to another region."""
+
+    code = "foreign_key"
+    advice = "send the change to the publisher of the region that owns the key"
+
+
+class NotPublisher(Refusal):
+    """The process asked does not hold the region's lease."""
+
+    code = "not_publisher"
+    advice = "ask another candidate; if none holds the lease for long, look at the quorum (`quorum.lost`)"
+
+
+class ChangeRefused(Refusal):
+    """The change cannot be read or fails its checks; the last good version stays in force."""
+
+    code = "invalid"
+    advice = "mend the value and publish it again; the error names the place"
+
+
+class QuorumUnreached(Refusal):
+    """No majority of the region's relays has the change on disk in time; it may still be accepted later."""
+
+    code = "unconfirmed"
+    advice = "bring back relays of this region; then publish it again: the newest version counts"
+
+
+class RelayStoreError(FleetError):
+    """A relay's disk cannot be written, or does not hold what was written."""
+
+    advice = "mend the disk or empty the store's folder: the relay then follows the others from the start"
+
+
+class ViewStoreError(FleetError):
+    """A gateway's store cannot be used; it goes on without one and asks its relay for everything at a
+    start."""
+
+    advice = "mend the disk or delete the file; nothing is lost but bytes at the next start"
--- /dev/null
+++ b/linenbridge/distribution/messages.py
@@ -0,0 +1,189 @@
+"""Messages of the distribution, as typed arrays: publisher and relays, relays and their followers, authors.
+
+Owns their form. It must never check more than the form: bounds are the cores'. Every list is bounded by
+what fits into one message of a link (`fleet/hosting/links.py`).
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from linenbridge.distribution.changes import Change, Position, Version
+
+# ---- one region's log: its publisher and its relays --------------------------------------------------------
+
+
+class Prepare(Struct, array_like=True, frozen=True, tag="prepare"):
+    """A new publisher asks a relay to refuse every earlier epoch from now on, and to tell its log's end."""
+
+    region: str
+    epoch: int
+
+
+class Prepared(Struct, array_like=True, frozen=True, tag="prepared"):
+    """The relay's promise, on its disk before this leaves. `last` is its newest entry, `committed` the
+    newest that it knows a majority to have. `code` is not empty where the promise is refused; `epoch` is
+    then the one that it holds to."""
+
+    region: str
+    epoch: int
+    relay: str
+    last: Version
+    committed: int
+    code: str = ""
+
+
+class Fetch(Struct, array_like=True, frozen=True, tag="fetch"):
+    """A new publisher reads a relay's log behind a sequence."""
+
+    region: str
+    epoch: int
+    after: int
+
+
+class Fetched(Struct, array_like=True, frozen=True, tag="fetched"):
+    """A part of a relay's log, in order; `more` where it goes on."""
+
+    region: str
+    epoch: int
+    relay: str
+    changes: list[Change]
+    more: bool
+
+
+class Append(Struct, array_like=True, frozen=True, tag="append"):
+    """Entries that follow on `previous`; none of them: a heartbeat. `committed` is the newest sequence that
+    a majority has on disk."""
+
+    region: str
+    epoch: int
+    previous: Version
+    committed: int
+    changes: list[Change]
+
+
+class Appended(Struct, array_like=True, frozen=True, tag="appended"):
+    """The relay's log agrees with the publisher's up to `upto`, on disk. With a code it does not: `upto` is
+    then the newest sequence that may agree, `epoch` the one that the relay holds to."""
+
+    region: str
+    epoch: int
+    relay: str
+    upto: int
+    code: str = ""
+
+
+# ---- relays and their followers (gateways, and relays of other regions) ------------------------------------
+
+
+class Follow(Struct, array_like=True, frozen=True, tag="follow"):
+    """A follower takes up a relay: its version vector, the bytes a second it takes (0: no bound), and which
+    regions it wants (none named: all). `session` is another number each time."""
+
+    follower: str
+    session: int
+    positions: list[Position]
+    rate: int
+    regions: list[str]
+
+
+class Refused(Struct, array_like=True, frozen=True, tag="refused"):
+    """The relay serves this follower no more, or not at all. `after` is how long to leave it alone, in
+    microseconds."""
+
+    session: int
+    code: str
+    after: int
+
+
+class Batch(Struct, array_like=True, frozen=True, tag="batch"):
+    """All keys whose newest version lies behind `after`, up to `upto`, each at that version. `digest` is
+    that of the relay's whole table of the region, given where `upto` is its head. No changes: a heartbeat."""
+
+    session: int
+    region: str
+    after: int
+    upto: Version
+    changes: list[Change]
+    digest: int | None = None
+
+
+class Whole(Struct, array_like=True, frozen=True, tag="whole"):
+    """A part of one range of a region's keys, complete at `upto` with its `last` part: what the range does
+    not name is gone. `final` stands in the last part of the last range that the relay sends: then the
+    follower is at `upto`."""
+
+    session: int
+    region: str
+    upto: Version
+    range: int
+    part: int
+    last: bool
+    final: bool
+    changes: list[Change]
+
+
+class Digests(Struct, array_like=True, frozen=True, tag="digests"):
+    """The digests of ranges, from `first` on, 8 bytes each: by a follower of its own, so that only what
+    differs is transferred."""
+
+    session: int
+    region: str
+    at: Version
+    first: int
+    digests: bytes
+    last: bool
+
+
+class Progress(Struct, array_like=True, frozen=True, tag="progress"):
+    """How far a follower is: on change, and as its heartbeat. `below` sums up its own followers."""
+
+    follower: str
+    session: int
+    positions: list[Position]
+    below: list[Summary]
+
+
+class Summary(Struct, array_like=True, frozen=True):
+    """How far all below a relay are in one region: how many, the least sequence in force, names of the
+    slowest (bounded), those known and not reached (bounded, and their number), and a histogram of the lag
+    in powers of two milliseconds. Room for more sums (outcomes, votes) is by further fields."""
+
+    region: str
+    followers: int
+    least: int
+    slowest: list[str]
+    unreached: list[str]
+    unreached_count: int
+    lag: list[int]
+
+
+# ---- authors of changes ------------------------------------------------------------------------------------
+
+
+class Publish(Struct, array_like=True, frozen=True, tag="publish"):
+    """An author asks a publisher for one change; `request` is the author's own number for it."""
+
+    request: int
+    region: str
+    kind: int
+    name: str
+    value: bytes
+
+
+class Published(Struct, array_like=True, frozen=True, tag="published"):
+    """What became of it: `accepted` (a majority has it on disk), `in_force` (everywhere that is reached;
+    those that are not are named), or `refused` with a code."""
+
+    request: int
+    state: str
+    version: Version
+    code: str = ""
+    unreached: list[str] = []
+    unreached_count: int = 0
+
+
+Message = (
+    Prepare | Prepared | Fetch | Fetched | Append | Appended
+    | Follow | Refused | Batch | Whole | Digests | Progress | Publish | Published
+)  # fmt: skip
