--- a/linenbridge/distribution/decisions.py
+++ b/linenbridge/distribution/decisions.py
@@ -1,7 +1,7 @@
 """What a core of the distribution asks of its host, as typed values.
 
-Owns their form. A host calls a core's `on_...` inputs, then pulls `next_decision(now)` until it is None, carries
-each out in order, and wakes the core at `wake_at()`.
+Owns their form. A host calls a core's `on_...` inputs, then pulls `next_decision(now)` until it is None,
+carries each out in order, and wakes the core at `wake_at()`.
 """
 
 from __future__ import annotations
@@ -20,9 +20,9 @@
 
 
 class Keep(Struct, frozen=True):
-    """A replica's log on disk: entries behind `truncate_after` are dropped first (None: none are), then `changes`
-    are appended; `epoch` and `committed` are kept with them. Once all is on disk, `then` is sent and
-    `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
+    """A replica's log on disk: entries behind `truncate_after` are dropped first (None: none are), then
+    `changes` are appended; `epoch` and `committed` are kept with them. Once all is on disk, `then` is sent
+    and `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
 
     number: int
     truncate_after: int | None
