Distribution: a region's replicated log, its relays' replica and its publisher

A change has to be on the disk of a majority of its region's relays before anybody sees it, and only one publisher may write. The epoch is the lease's term; relays promise epochs, check what an append follows on, and hand on what is committed. Up to the committed sequence a log holds only the newest entry of each key.

--- /dev/null
+++ b/linenbridge/distribution/authors.py
@@ -0,0 +1,120 @@
+"""What authors of changes are told, and when: accepted, unconfirmed, in force.
+
+Keeps state without I/O. Every request taken is answered; those that wait are bounded in number and bytes. It
+must never say `refused` of a change that a relay may have kept.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from linenbridge.distribution.changes import START, Version
+from linenbridge.distribution.decisions import Send
+from linenbridge.distribution.errors import NotPublisher, PublisherBusy, QuorumUnreached
+from linenbridge.distribution.messages import Publish, Published
+from linenbridge.fleet.errors import Refusal
+
+QUEUED_MOST = 4_000  # changes that wait to be appended
+QUEUED_BYTES = 16_000_000
+IN_FORCE_MOST = 20_000  # authors that wait to hear of `in_force`; the oldest is let go
+UNREACHED_MOST = 32  # names in one answer
+
+
+@dataclass
+class Waiting:
+    """One author's change. `version` is START until it is appended; `late` once `unconfirmed` was said."""
+
+    author: str
+    publish: Publish
+    deadline: int
+    version: Version = START
+    late: bool = False
+
+    def answer(self, state: str, code: str = "", unreached: list[str] | None = None, count: int = 0) -> Send:
+        names = (unreached or [])[:UNREACHED_MOST]
+        return Send(self.author, Published(self.publish.request, state, self.version, code, names, count))
+
+
+class Authors:
+    """`out` holds the answers, in order."""
+
+    def __init__(self) -> None:
+        self.out: deque[Send] = deque()
+        self.untold = 0  # authors let go without `in_force`
+        self._queue: deque[Waiting] = deque()
+        self._queued_bytes = 0
+        self._appended: deque[Waiting] = deque()
+        self._accepted: deque[Waiting] = deque()
+
+    def take(self, author: str, publish: Publish, deadline: int) -> None:
+        """A change that may be appended waits for its turn."""
+        size = len(publish.value)
+        if len(self._queue) >= QUEUED_MOST or self._queued_bytes + size > QUEUED_BYTES:
+            self.refuse(author, publish, PublisherBusy)
+            return
+        self._queue.append(Waiting(author, publish, deadline))
+        self._queued_bytes += size
+
+    def refuse(self, author: str, publish: Publish, error: type[Refusal]) -> None:
+        """A change that is not appended and will not be."""
+        self.out.append(Waiting(author, publish, 0).answer("refused", error.code))
+
+    def next_to_append(self) -> Publish | None:
+        return self._queue[0].publish if self._queue else None
+
+    def on_append(self, version: Version) -> None:
+        """The next one is in the publisher's log at this version."""
+        waiting = self._queue.popleft()
+        self._queued_bytes -= len(waiting.publish.value)
+        waiting.version = version
+        self._appended.append(waiting)
+
+    def on_committed(self, sequence: int) -> None:
+        """A majority has everything up to this sequence on disk."""
+        while self._appended and self._appended[0].version.sequence <= sequence:
+            waiting = self._appended.popleft()
+            self.out.append(waiting.answer("accepted"))
+            self._accepted.append(waiting)
+        while len(self._accepted) > IN_FORCE_MOST:
+            self._accepted.popleft()
+            self.untold += 1
+
+    def on_in_force(self, sequence: int, unreached: list[str], count: int) -> None:
+        """Everything up to this sequence is in force wherever anybody is reached."""
+        while self._accepted and self._accepted[0].version.sequence <= sequence:
+            self.out.append(self._accepted.popleft().answer("in_force", "", unreached, count))
+
+    def on_time(self, now: int) -> None:
+        """Answers that are due whatever happens."""
+        while self._queue and self._queue[0].deadline <= now:
+            waiting = self._queue.popleft()
+            self._queued_bytes -= len(waiting.publish.value)
+            self.out.append(waiting.answer("refused", PublisherBusy.code))
+        for waiting in self._appended:
+            if waiting.deadline > now:
+                break
+            if not waiting.late:
+                waiting.late = True
+                self.out.append(waiting.answer("unconfirmed", QuorumUnreached.code))
+
+    def on_lease_lost(self) -> None:
+        """Nothing more can be brought about for those that wait."""
+        for waiting in self._queue:
+            self.out.append(waiting.answer("refused", NotPublisher.code))
+        for waiting in self._appended:
+            if not waiting.late:
+                self.out.append(waiting.answer("unconfirmed", QuorumUnreached.code))
+        self._queue.clear()
+        self._appended.clear()
+        self._accepted.clear()
+        self._queued_bytes = 0
+
+    def awaits_in_force(self) -> bool:
+        return bool(self._accepted)
+
+    def wake_at(self) -> int | None:
+        """The next deadline."""
+        queued = [self._queue[0].deadline] if self._queue else []
+        unsure = [waiting.deadline for waiting in self._appended if not waiting.late][:1]
+        return min(queued + unsure, default=None)
--- a/linenbridge/distribution/changes.py
+++ b/linenbridge/distribution/changes.py
@@ -24,6 +24,7 @@
 class Kind(IntEnum):
     """What a key is about, and with it the form of its value."""
 
+    LOG = 0  # an entry of the log about itself, always empty; relays keep it, no feed ever sees it (log.py)
     ROUTES = 1  # name: a service (authority); value: its rules in the routes' language, UTF-8
     TENANT = 2  # name: a tenant; value: TenantValue
     INSTANCE = 3  # name: service/instance; value: InstanceValue
--- a/linenbridge/distribution/decisions.py
+++ b/linenbridge/distribution/decisions.py
@@ -21,14 +21,18 @@
 
 class Keep(Struct, frozen=True):
     """A replica's log on disk: entries behind `truncate_after` are dropped first (None: none are), then
-    `changes` are appended; `epoch` and `committed` are kept with them. Once all is on disk, `then` is sent
-    and `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
+    `changes` are appended and the sequences `superseded` dropped; `epoch` with the `publisher` that it was
+    promised to, `committed` and `life` are kept with them. Once all is on disk, `then` is sent and
+    `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
 
     number: int
     truncate_after: int | None
     changes: list[Change]
     epoch: int
     committed: int
+    publisher: str = ""
+    life: int = 0
+    superseded: list[int] = field(default_factory=list)
     then: list[Send] = field(default_factory=list)
 
 
--- a/linenbridge/distribution/errors.py
+++ b/linenbridge/distribution/errors.py
@@ -43,6 +43,13 @@
     advice = "ask another candidate; if none holds the lease for long, look at the quorum (`quorum.lost`)"
 
 
+class PublisherBusy(Refusal):
+    """More changes wait for a majority of the region's relays than the publisher holds."""
+
+    code = "busy"
+    advice = "publish it again a little later; where it lasts, bring back relays of this region"
+
+
 class ChangeRefused(Refusal):
     """The change cannot be read or fails its checks; the last good version stays in force."""
 
--- a/linenbridge/distribution/messages.py
+++ b/linenbridge/distribution/messages.py
@@ -23,7 +23,8 @@
 class Prepared(Struct, array_like=True, frozen=True, tag="prepared"):
     """The relay's promise, on its disk before this leaves. `last` is its newest entry, `committed` the
     newest that it knows a majority to have. `code` is not empty where the promise is refused; `epoch` is
-    then the one that it holds to."""
+    then the one that it holds to. `life` is another number since the relay may last have forgotten
+    something; it is a `member` where its committed log names this life."""
 
     region: str
     epoch: int
@@ -31,6 +32,8 @@
     last: Version
     committed: int
     code: str = ""
+    life: int = 0
+    member: bool = False
 
 
 class Fetch(Struct, array_like=True, frozen=True, tag="fetch"):
@@ -42,18 +45,20 @@
 
 
 class Fetched(Struct, array_like=True, frozen=True, tag="fetched"):
-    """A part of a relay's log, in order; `more` where it goes on."""
+    """A part of a relay's log behind `after`, in order; `more` where it goes on."""
 
     region: str
     epoch: int
     relay: str
     changes: list[Change]
     more: bool
+    after: int = 0
 
 
 class Append(Struct, array_like=True, frozen=True, tag="append"):
     """Entries that follow on `previous`; none of them: a heartbeat. `committed` is the newest sequence that
-    a majority has on disk."""
+    a majority has on disk. Committed entries that newer ones of their key have replaced may be left out;
+    `committed` then stays behind them until the relay has all the rest."""
 
     region: str
     epoch: int
@@ -64,13 +69,15 @@
 
 class Appended(Struct, array_like=True, frozen=True, tag="appended"):
     """The relay's log agrees with the publisher's up to `upto`, on disk. With a code it does not: `upto` is
-    then the newest sequence that may agree, `epoch` the one that the relay holds to."""
+    then the newest sequence that surely agrees, `epoch` the one that the relay holds to. `life` as in
+    Prepared."""
 
     region: str
     epoch: int
     relay: str
     upto: int
     code: str = ""
+    life: int = 0
 
 
 # ---- relays and their followers (gateways, and relays of other regions) ------------------------------------
@@ -173,7 +180,8 @@
 
 class Published(Struct, array_like=True, frozen=True, tag="published"):
     """What became of it: `accepted` (a majority has it on disk), `in_force` (everywhere that is reached;
-    those that are not are named), or `refused` with a code."""
+    those that are not are named), `refused` with a code (it is kept nowhere and never will be), or
+    `unconfirmed` (it may be kept; `accepted` may still follow)."""
 
     request: int
     state: str
--- /dev/null
+++ b/linenbridge/distribution/reach.py
@@ -0,0 +1,71 @@
+"""How far a region's changes are in force everywhere, as its relays say of all below them.
+
+Keeps state without I/O. A relay that has not said so for a while is unreached, and so is whom it names. It
+must never count silence as being in force: whoever is not reached is named instead.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from linenbridge.distribution.messages import Progress, Summary
+
+NAMES_MOST = 64  # unreached names that are remembered
+
+
+@dataclass
+class Everywhere:
+    """All that are reached have everything up to `sequence`; the rest is named and numbered."""
+
+    sequence: int
+    unreached: list[str] = field(default_factory=list)
+    unreached_count: int = 0
+
+
+class Reach:
+    """The newest word of each relay of the region."""
+
+    def __init__(self, region: str, relays: tuple[str, ...], silence: int) -> None:
+        self.region, self.silence = region, silence
+        self._heard: dict[str, int] = dict.fromkeys(relays, 0)
+        self._positions: dict[str, int] = {}
+        self._below: dict[str, Summary] = {}
+        self._wake_at: int | None = None
+
+    def begin(self, now: int) -> None:
+        """Each relay has the time of one silence to be heard."""
+        self._heard = dict.fromkeys(self._heard, now)
+        self._positions.clear()
+        self._below.clear()
+
+    def on_progress(self, now: int, relay: str, message: Progress) -> None:
+        self._heard[relay] = now
+        for position in message.positions:
+            if position.region == self.region:
+                self._positions[relay] = position.sequence
+        for summary in message.below:
+            if summary.region == self.region:
+                self._below[relay] = summary
+
+    def everywhere(self, now: int) -> Everywhere | None:
+        """None while nothing can be said: a relay has its time to be heard, or none was heard."""
+        silent = [relay for relay, at in self._heard.items() if now - at >= self.silence]
+        reached = [relay for relay in self._heard if relay not in silent]
+        self._wake_at = min((self._heard[relay] + self.silence for relay in reached), default=None)
+        if not reached or any(relay not in self._positions for relay in reached):
+            return None
+        found = Everywhere(min(self._least(relay) for relay in reached), silent, len(silent))
+        for relay in reached:
+            if (summary := self._below.get(relay)) is not None:
+                found.unreached += summary.unreached[: NAMES_MOST - len(found.unreached)]
+                found.unreached_count += summary.unreached_count
+        return found
+
+    def wake_at(self) -> int | None:
+        """When another relay would count as silent, as of the last look."""
+        return self._wake_at
+
+    def _least(self, relay: str) -> int:
+        summary = self._below.get(relay)
+        own = self._positions[relay]
+        return min(own, summary.least) if summary is not None and summary.followers else own
--- /dev/null
+++ b/tests/distribution/log/test_region.py
@@ -0,0 +1,264 @@
+"""One region's log without faults of the network: what authors hear, what relays hold, who may write."""
+
+from __future__ import annotations
+
+import pytest
+
+from linenbridge.distribution.changes import VALUE_MOST, Kind, Position, Version
+from linenbridge.distribution.messages import Progress, Publish, Summary
+from linenbridge.distribution.replica import Kept
+from tests.distribution.log.world import PACE, REGION, Region
+
+
+def states(region: Region) -> list[tuple[int, str]]:
+    return [(told.request, told.state) for _, told in region.told]
+
+
+def codes(region: Region) -> list[tuple[str, str]]:
+    return [(told.state, told.code) for _, told in region.told]
+
+
+def equal_logs(region: Region) -> bool:
+    logs = [disk.changes for disk in region.disks.values()]
+    return all(log == logs[0] for log in logs)
+
+
+def test_a_change_is_accepted_and_handed_on_by_every_relay():
+    region = Region()
+    assert region.publisher("p", 1).leading
+    region.publish("p", "one", b"1", 1)
+    region.publish("p", "one", b"2", 2)
+    assert states(region) == [(1, "accepted"), (2, "accepted")]
+    assert all(region.values(name) == {"one": b"2"} for name in region.names)
+    assert equal_logs(region)
+
+
+def test_only_the_newest_of_a_key_is_kept_and_no_feed_sees_the_logs_own_entries():
+    region = Region()
+    region.publisher("p", 1)
+    for number in range(50):
+        region.publish("p", "one", b"%d" % number, number)
+    kept = region.disks["a"].changes
+    assert [row.value for row in kept if row.kind == Kind.TENANT] == [b"49"]
+    assert len(kept) == 1 + 1 + 3  # the key, the epoch's first entry, the relays' lives
+    assert all(row.kind != Kind.LOG for row in region.committed["a"])
+
+
+def test_a_deletion_is_a_change_like_any_other():
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    region.publish("p", "one", b"", 2)
+    assert states(region)[-1] == (2, "accepted") and region.values("b") == {"one": b""}
+
+
+def test_what_cannot_be_published_is_refused_to_its_author():
+    region = Region()
+    publisher = region.publisher("p", 1)
+    wrong = [
+        Publish(1, "south", Kind.TENANT, "one", b"1"),
+        Publish(2, REGION, Kind.TENANT, "one", b"bad"),
+        Publish(3, REGION, Kind.LOG, "a/1", b""),
+        Publish(4, REGION, 77, "one", b"1"),
+        Publish(5, REGION, Kind.TENANT, "", b"1"),
+        Publish(6, REGION, Kind.TENANT, "one", b"x" * (VALUE_MOST + 1)),
+    ]
+    for message in wrong:
+        publisher.on_publish(region.now, "author", message)
+    region.settle()
+    assert codes(region) == [("refused", "foreign_key")] + [("refused", "invalid")] * 5
+    refused = [event for _, event in region.events if event.name == "distribution.change_refused"]
+    assert refused[0].fields["what"] == "not taken" and "publish it again" in refused[0].fields["do"]
+
+
+def test_without_the_lease_nothing_is_taken_and_nothing_is_sent():
+    region = Region()
+    region.publisher("p", 1)
+    region.publisher("p", None)
+    sent = region.sent
+    region.publish("p", "one", b"1")
+    region.run(5_000)
+    assert codes(region) == [("refused", "not_publisher")] and region.sent == sent
+
+
+def test_a_change_under_way_when_the_lease_goes_is_unconfirmed_never_refused():
+    region = Region()
+    region.publisher("p", 1)
+    region.down = {"b", "c"}
+    region.publish("p", "one", b"1")
+    assert states(region) == []
+    region.publisher("p", None)
+    assert codes(region) == [("unconfirmed", "unconfirmed")]
+    region.down = set()
+    region.publisher("q", 2)
+    assert region.values("c") in ({}, {"one": b"1"}) and equal_logs(region)
+
+
+def test_without_a_majority_the_author_hears_so_and_later_that_it_was_accepted():
+    region = Region()
+    region.publisher("p", 1)
+    region.down = {"b", "c"}
+    region.publish("p", "one", b"1")
+    region.run(PACE.answer_within + PACE.retry_most)
+    assert codes(region) == [("unconfirmed", "unconfirmed")]
+    region.down = set()
+    region.run(2 * PACE.retry_most)
+    assert states(region) == [(1, "unconfirmed"), (1, "accepted")]
+
+
+def test_what_waits_for_a_publisher_that_never_reads_a_majority_is_refused_in_time():
+    region = Region()
+    region.down = {"b", "c"}
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1")
+    region.run(2 * PACE.answer_within)
+    assert codes(region) == [("refused", "busy")]
+
+
+def test_a_woken_publisher_of_an_old_epoch_writes_nothing_and_says_so():
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    region.publisher("q", 2)
+    region.publish("p", "one", b"old", 2)
+    region.publish("q", "one", b"new", 3)
+    assert codes(region)[1:] == [("unconfirmed", "unconfirmed"), ("accepted", "")]
+    assert all(region.values(name) == {"one": b"new"} for name in region.names)
+    assert "distribution.replaced" in [event.name for name, event in region.events if name == "p"]
+    region.publish("p", "one", b"older", 4)
+    assert codes(region)[-1] == ("refused", "not_publisher")
+
+
+def test_an_epoch_that_was_promised_to_one_publisher_is_refused_to_another():
+    """Leases never grant a term twice; should their memory be lost, the log's relays still hold to it."""
+    region = Region()
+    region.publisher("p", 1)
+    region.publisher("q", 1)
+    region.publish("q", "one", b"1")
+    region.run(PACE.answer_within)
+    assert region.publishers["q"].replaced and region.values("a") == {}
+
+
+def test_a_new_publisher_takes_over_what_only_a_majority_has():
+    region = Region()
+    region.publisher("p", 1)
+    region.down = {"c"}
+    region.publish("p", "one", b"1", 1)
+    region.down = {"a", "p"}
+    region.publisher("q", 2)
+    region.publish("q", "two", b"2", 2)
+    assert region.values("c") == {"one": b"1", "two": b"2"}
+    region.down = {"p"}
+    region.run(4 * PACE.retry_most)
+    assert equal_logs(region)
+
+
+def test_a_lease_that_comes_back_under_the_same_term_goes_on_in_its_log():
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    region.publisher("p", None)
+    region.publisher("p", 1)
+    region.publish("p", "two", b"2", 2)
+    region.run(PACE.retry_most)
+    assert states(region) == [(1, "accepted"), (2, "accepted")] and equal_logs(region)
+
+
+def fill(region: Region, keys: int, size: int = 2_000) -> None:
+    for number in range(keys):
+        message = Publish(number, REGION, Kind.ROUTES, f"service-{number}", b"%05d" % number + b"x" * size)
+        region.publishers["p"].on_publish(region.now, "author", message)
+    region.settle()
+
+
+def test_a_relay_far_behind_is_sent_pages_and_hands_on_one_whole_state():
+    region = Region()
+    region.publisher("p", 1)
+    region.down = {"c"}
+    fill(region, 300)
+    fill(region, 150)
+    region.down = set()
+    handed = len(region.committed["c"])
+    region.run(4 * PACE.retry_most)
+    assert equal_logs(region) and region.values("c") == region.values("a")
+    assert handed == 0 and len(region.committed["c"]) == 300
+
+
+@pytest.mark.parametrize("trusted", [True, False])
+def test_a_relay_with_its_disk_takes_up_where_it_was(trusted):
+    region = Region(trusted=trusted)
+    region.publisher("p", 1)
+    fill(region, 100)
+    member, sent = region.replicas["a"].life, region.sent
+    region.restart("a")
+    assert region.values("a") == region.values("b")
+    region.run(4 * PACE.retry_most)
+    assert (region.replicas["a"].life == member) == trusted
+    assert region.replicas["a"].member and region.sent - sent < 120
+
+
+def test_a_relay_that_lost_its_disk_counts_again_once_it_has_everything():
+    region = Region()
+    region.publisher("p", 1)
+    fill(region, 100)
+    region.restart("a", Kept())
+    assert not region.replicas["a"].member
+    region.run(4 * PACE.retry_most)
+    assert region.replicas["a"].member and region.values("a") == region.values("b")
+    region.down = {"b"}
+    region.publish("p", "after", b"1", 1_000)
+    assert states(region)[-1] == (1_000, "accepted")
+
+
+def test_a_relay_without_memory_does_not_make_a_majority():
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    region.down = {"b", "p"}
+    region.restart("a", Kept())
+    region.publisher("q", 2)
+    region.run(10 * PACE.retry_most)
+    assert not region.publishers["q"].leading
+    region.down = {"p"}
+    region.run(4 * PACE.retry_most)
+    assert region.publishers["q"].leading and region.values("a") == {"one": b"1"}
+
+
+def test_after_all_relays_restarted_at_once_they_count_again_when_all_are_there():
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    for name in region.names:
+        region.restart(name)
+    region.run(4 * PACE.retry_most)
+    region.publish("p", "two", b"2", 2)
+    assert states(region) == [(1, "accepted"), (2, "accepted")]
+    assert all(replica.member for replica in region.replicas.values())
+
+
+def summary(followers: int, least: int, unreached: list[str]) -> Summary:
+    return Summary(REGION, followers, least, [], unreached, len(unreached), [])
+
+
+def progress(region: Region, relay: str, sequence: int, below: Summary) -> None:
+    message = Progress(relay, 1, [Position(REGION, 1, sequence)], [below])
+    region.publishers["p"].on_progress(region.now, relay, message)
+    region.settle()
+
+
+def test_in_force_is_told_when_all_that_are_reached_have_it_and_names_who_is_not():
+    region = Region()
+    region.publisher("p", 1)
+    region.run(PACE.silence // 2)
+    region.publish("p", "one", b"1")
+    end = region.replicas["a"].log.last.sequence
+    progress(region, "a", end, summary(5, end, []))
+    progress(region, "b", end, summary(4, end - 1, ["g7"]))
+    assert states(region) == [(1, "accepted")]
+    progress(region, "b", end, summary(4, end, ["g7"]))
+    assert states(region) == [(1, "accepted")], "c has its time to be heard"
+    region.run(PACE.silence * 9 // 10)
+    progress(region, "a", end, summary(5, end, []))
+    told = region.told[-1][1]
+    assert told.state == "in_force" and told.unreached == ["c", "g7"] and told.unreached_count == 2
+    assert told.version == Version(1, end)
