Doc comments of the fleet's leases, store, links and members in plain technical English

Need: the comments spoke in figures of their own (a seat's yes, words, who comes back) that a newcomer had to translate.

--- a/linenbridge/fleet/configuration.py
+++ b/linenbridge/fleet/configuration.py
@@ -1,7 +1,7 @@
-"""What the settings say to the fleet's part: the element `fleet`, from the checked XML to plain objects.
+"""The element `fleet` of the settings, from the checked XML to typed objects.
 
-Owns what the element's words stand for, and which of them can't stand together. Each wrong place is one line,
-`file:line:column: what; what to do`. It must never hold a tuned value: defaults stand in the schema.
+Checks what the schema can't express, such as values that exclude each other. Each fault is one line,
+`file:line:column: what; what to do`. Defaults stand in the schema, not here.
 """
 
 from __future__ import annotations
@@ -23,14 +23,14 @@
 
 
 class FleetSettingsError(PlaceError):
-    """One wrong place in the element `fleet`."""
+    """One fault in the element `fleet`."""
 
     advice = "mend the settings; until then the member goes on by the earlier ones, or does not start"
 
 
 @dataclass(frozen=True, slots=True)
 class Errand:
-    """One task: how many hold it at once, and where its holder reports each act, if anywhere."""
+    """One task: how many members hold it at once, and where its holder sends each act, if anywhere."""
 
     task: str
     places: int
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetTold:
-    """All that the settings say of the fleet. Times in microseconds."""
+    """The element `fleet`. Times in microseconds."""
 
     member: str
     listen: tuple[str, int]
@@ -60,7 +60,7 @@
 
 
 def fleet(configuration: Configuration) -> FleetTold | None:
-    """The element, or None where there is none; ConfigurationError names every wrong place, a line each."""
+    """The element, or None if there is none. ConfigurationError names every fault, one a line."""
     element = configuration.part("fleet")
     if element is None:
         return None
@@ -111,7 +111,7 @@
 
 
 def _quorum_element(element: etree._Element) -> etree._Element:
-    """The schema lets exactly one of the two names through; `council` is the earlier one."""
+    """The element `quorum`, or `council`, its earlier name; the schema allows exactly one of the two."""
     found = element.find(f"{SPACE}quorum")
     return found if found is not None else element.find(f"{SPACE}council")
 
--- a/linenbridge/fleet/errors.py
+++ b/linenbridge/fleet/errors.py
@@ -1,6 +1,6 @@
-"""The ground floor of all errors in the fleet's parts: what happened, where, and what an operator can do.
+"""The base of all errors of the fleet: what happened, where, and what an operator can do.
 
-Owns the base and the walk over its kinds. It must never know a part of the fleet.
+It must never import a part of the fleet.
 """
 
 from __future__ import annotations
@@ -10,7 +10,8 @@
 
 
 class FleetError(Exception):
-    """`what` happened, `where` (a file's place, a member, a task), and `advice`, which each kind states."""
+    """`what` happened, `where` (a place in a file, a member, a task), and `advice` for the operator,
+    which each kind states."""
 
     advice: ClassVar[str] = ""
     formerly: ClassVar[str] = ""  # a renamed kind's first name: the log goes on giving it as `kind`
@@ -33,7 +34,7 @@
 
 
 class PlaceError(FleetError):
-    """One wrong place in a file; `do` says what to do about this one, else the kind's advice."""
+    """One fault in a file; `do` replaces the kind's advice where it is given."""
 
     def __init__(self, what: str, where: str = "", do: str = "") -> None:
         super().__init__(what, where)
@@ -44,13 +45,13 @@
 
 
 class Refusal(FleetError):
-    """What a core gives out as its no. `code` goes over the wire."""
+    """A reason for which a request is refused; `code` is sent over the wire."""
 
     code: ClassVar[str] = ""
 
 
 def kinds(base: type[FleetError] = FleetError) -> Iterator[type[FleetError]]:
-    """All kinds that are imported by now, in the order of their definition."""
+    """All kinds imported so far, in the order of their definition."""
     for kind in base.__subclasses__():
         yield kind
         yield from kinds(kind)
--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -1,8 +1,8 @@
-"""Links between members: words over Twisted's AMP, one connection from each member to each acceptor.
+"""Links between members: messages over Twisted's AMP, one connection from each member to each acceptor.
 
-Owns the connections and who is at their far ends. A peer that sends what is no word costs its own
-connection. It must never look into a word beyond its form, hold more than one connection's unsent words,
-nor retry one: the cores ask anew by themselves.
+Owns the connections and knows the member at the far end of each. A peer that sends something else costs
+its own connection. It must never look into a message beyond its form, buffer more than one connection's
+unsent messages, nor send one again: the cores repeat requests by themselves.
 """
 
 from __future__ import annotations
@@ -28,21 +28,21 @@
 
 
 class Meet(amp.Command):
-    """Who is at this end, once, before any word."""
+    """The name of the member at this end, sent once before any message."""
 
     arguments = [(b"name", amp.Unicode())]
     requiresAnswer = False
 
 
 class Say(amp.Command):
-    """One word of a core."""
+    """One message of a core."""
 
     arguments = [(b"word", amp.String())]
     requiresAnswer = False
 
 
 class Link(amp.AMP):
-    """One connection. `far` is the name of the member at the other end, as it says itself."""
+    """One connection. `far` is the name of the member at the other end, by its own word."""
 
     noisy, far, quiet = False, "", None
 
@@ -91,7 +91,8 @@
 
 
 class Links(Factory):
-    """All links of one member. `hear(far, word)` is called for each word; `known` are the others by name."""
+    """All links of one member. `hear(far, message)` is called for each message; `known` are the other
+    members' names."""
 
     noisy = False
 
@@ -104,14 +105,15 @@
         self.dialled: dict[str, tuple[ClientService, tuple[str, int]]] = {}
 
     def buildProtocol(self, addr: Any) -> Link | None:
-        """No more connections at once than the members known can have any use for."""
+        """Accept a connection, unless more are open than the known members can use."""
         if len(self.open) >= 4 * len(self.known) + 16:
             self.log.rarely("link.too_many", "all")
             return None
         return Link(self)
 
     def dial(self, acceptor: str, address: tuple[str, int]) -> None:
-        """Keep a link to an acceptor; it is taken up again after a while of chance, ever longer."""
+        """Keep a connection to an acceptor; after a failure it is opened again with exponential backoff
+        and jitter."""
         if acceptor in self.dialled and self.dialled[acceptor][1] == address:
             return
         self.drop(acceptor)
@@ -122,22 +124,24 @@
         service.startService()
 
     def drop(self, acceptor: str) -> None:
+        """Close the connection to an acceptor and don't open it again."""
         if acceptor in self.dialled:
             self.dialled.pop(acceptor)[0].stopService()
 
     def met(self, link: Link) -> None:
-        """The newest connection of a name is the one that is written to."""
+        """The far end has named itself: the newest connection of a name is the one that is written to."""
         self.to[link.far] = link
         self.log.rarely("link.up", link.far)
 
     def lost(self, link: Link) -> None:
+        """A connection has closed."""
         self.open.discard(link)
         if self.to.get(link.far) is link:
             del self.to[link.far]
             self.log.rarely("link.lost", link.far)
 
     def say(self, to: str, word: Any) -> None:
-        """To a name that is there; else it is lost, as on any network."""
+        """Send a message to a member; without a connection it is lost, as on any network."""
         link, data = self.to.get(to), _encode.encode(word)
         if link is None or link.transport is None:
             return
@@ -150,6 +154,7 @@
         link.callRemote(Say, word=data)
 
     def close(self) -> None:
+        """Close all connections."""
         for acceptor in list(self.dialled):
             self.drop(acceptor)
         for link in list(self.open):
@@ -157,5 +162,5 @@
 
 
 def later(reactor: Any, call: Callable[..., None], *args: object) -> None:
-    """A word to oneself takes the same way round the reactor as any other."""
+    """Deliver a message to this member itself by the reactor, as any other is."""
     reactor.callLater(0, partial(call, *args))
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -1,7 +1,7 @@
-"""One member of the fleet on a reactor: its proposer, its acceptor where it has one, links, store, and acts.
+"""One member of the fleet on a reactor: its proposer, its acceptor if it is one, links, store, and acts.
 
-Owns the wiring and one timer for both cores. Promises are written by one thread in their order, and an
-acceptor's answer leaves after them. It must never decide: what a core says is carried out.
+Connects these, and keeps one timer for both cores. Records are written by one thread in their order, and
+an acceptor's answer is sent after the write. It must never decide: it carries out what a core decides.
 """
 
 from __future__ import annotations
@@ -29,8 +29,8 @@
 
 
 class Member:
-    """`life` is another for each start of the process; `held` is told where releases are held, None:
-    nowhere."""
+    """`life` differs for each start of the process. `held` is called with the zones in which releases are
+    held, None for none."""
 
     def __init__(
         self, told: FleetTold, reactor: Any, log: Log, life: int,
@@ -59,7 +59,8 @@
         self.turn()
 
     def _start_acceptor(self, now: int, life: int) -> None:
-        """The store is read before anything is promised; one that can't be used leaves the acceptor aside."""
+        """Read the store, then start the acceptor. If the store can't be used the acceptor grants
+        nothing."""
         told, broken, kept = self.told, "", None
         try:
             self.disk = promises(told.store, told.member)
@@ -85,7 +86,7 @@
     # ---- messages ----------------------------------------------------------------------------------
 
     def _hear(self, far: str, message: Any) -> None:
-        """A message counts for whom its link is known as, whatever sender it names."""
+        """A message counts only if its sender is the member at the other end of the link."""
         now, acceptor = clock.now(), self.acceptor
         if isinstance(message, LeaseReply):
             if message.acceptor == far:
@@ -103,7 +104,7 @@
         self.turn()
 
     def _heard_on(self, proposer: str, far: str) -> None:
-        """Where answers to a proposer go; as many are kept as there are links, and some."""
+        """Remember the link to answer a proposer on; entries of closed links are dropped beyond a bound."""
         if len(self.proposers) > 4 * len(self.links.to) + 64:
             self.proposers = {name: link for name, link in self.proposers.items() if link in self.links.to}
         self.proposers[proposer] = far
@@ -117,7 +118,7 @@
     # ---- turns -------------------------------------------------------------------------------------
 
     def turn(self) -> None:
-        """Carry out what the cores say, and set the one timer."""
+        """Carry out all decisions of both cores, then set the timer."""
         now = clock.now()
         for core in (self.proposer, self.acceptor):
             while core is not None and (decision := core.next_decision(now)) is not None:
@@ -154,12 +155,12 @@
     # ---- what others ask ---------------------------------------------------------------------------
 
     def holds(self, task: str) -> tuple[int, int] | None:
-        """Term and place under which this member may act on the task at this very moment."""
+        """Term and place under which this member may act on the task at this moment, or None."""
         term = self.proposer.may_act(clock.now(), task)
         return None if term is None else (term, self.proposer.holds[task].place)
 
     def take_up(self, told: FleetTold) -> None:
-        """New settings: the quorum, and addresses. The rest counts from the next start."""
+        """New settings: the quorum, addresses and windows count at once, all else from the next start."""
         now = clock.now()
         self.told = told
         self.proposer.on_quorum(now, told.quorum)
@@ -176,7 +177,7 @@
         self.turn()
 
     def leave(self, gone: Callable[[], None]) -> None:
-        """End in order: wait for the turn to restart, where the settings have turns, then give all back."""
+        """End in order: wait for a turn to restart if the settings have turns, then give all leases back."""
         if self.leaving is not None:
             return
         self.leaving = gone
@@ -212,7 +213,7 @@
         gone()
 
     def facts(self) -> dict[str, int]:
-        """For the counters' line."""
+        """Figures for the line of counters."""
         held = sum(self.holds(task) is not None for task in self.proposer.holds)
         return {
             "links": len(self.links.to),
--- a/linenbridge/fleet/hosting/witness.py
+++ b/linenbridge/fleet/hosting/witness.py
@@ -1,4 +1,4 @@
-"""A process that is a member of the fleet and serves no RPCs: a witness.
+"""A process that is a member of the fleet and serves no RPCs.
 
 Owns its start and end. It must never import what serves RPCs.
 """
@@ -16,7 +16,7 @@
 
 
 def run(configuration: Configuration, told: FleetTold) -> int:
-    """One process until its end; the exit code."""
+    """One process from start to end; returns the exit code."""
     log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
     member = Member(told, reactor, log, secrets.randbits(60))
@@ -37,7 +37,7 @@
 
 
 def again(path: str, member: Member, log) -> None:  # noqa: ANN001
-    """The settings read anew: taken up whole, or not at all."""
+    """Read the settings anew. They are taken up as a whole, or not at all if anything is wrong."""
     try:
         told = fleet(read(path))
         if told is None or told.member != member.told.member:
--- a/linenbridge/fleet/leases/__init__.py
+++ b/linenbridge/fleet/leases/__init__.py
@@ -1,6 +1,6 @@
-"""Leases: named tasks, each held by one member at a time, or by at most as many as the task has places.
+"""Leases: each task has a number of places, and each place is held by one member at a time.
 
-`acceptor` grants, `proposer` asks and holds, `returning` is how an acceptor comes back after a start or a
-change of the quorum, `quorum` counts, `messages` holds the message types. Cores only: the host is
-`linenbridge.fleet.hosting`.
+`acceptor` grants leases, `proposer` requests and holds them, `returning` decides when an acceptor may
+grant again after a restart or a change of the quorum, `quorum` counts majorities, `messages` holds the
+message types. These modules do no I/O; they are run by `linenbridge.fleet.hosting`.
 """
--- a/linenbridge/fleet/leases/acceptor.py
+++ b/linenbridge/fleet/leases/acceptor.py
@@ -1,15 +1,16 @@
-"""One acceptor of the quorum: it grants places, each to one member at a time, and keeps what it promised.
+"""One acceptor of the quorum: it grants the places of tasks, each to one member at a time, and records what
+it granted.
 
-Decides without I/O. Every yes waits until what it promises is kept. An acceptor grants alone and trusts
-nobody: that a majority is needed is the proposer's to count, so two majorities always share an acceptor that
-said yes to one only. It must never grant a place that it keeps for another, nor a term that is not newer
-than all it knows.
+Decides without I/O. A grant is sent only after its record is durable. An acceptor decides by its own tables
+alone; counting a majority is up to the proposer, and any two majorities share an acceptor, which has granted
+the place to one of the two only. It must never grant a place that it has granted to another member, nor a
+term that is not above every term it knows of the place.
 
 Decisions, as plain tuples:
 
-    (KEEP, rows, to, message)   store the rows (task, place, term, holder, closed) durably, then send the
-    message (SAY, to, message)          send a message to a member (LOG, name, fields)         one line of
-    the log
+    (KEEP, rows, to, message)  store the rows (task, place, term, holder, closed), then send the message
+    (SAY, to, message)         send a message to a member
+    (LOG, name, fields)        one line of the log
 """
 
 from __future__ import annotations
@@ -53,7 +54,7 @@
 
 
 class Kept(NamedTuple):
-    """What an acceptor's store held when it started."""
+    """What an acceptor's store held when the process started."""
 
     remembers: bool = False  # whether there was a store with the quorum's founding in it
     settled: int = 0  # the newest generation that this acceptor has settled in
@@ -63,8 +64,9 @@
 
 
 class Acceptor:
-    """`name` sits on `quorum`; `kept` is what its store held. `trusted`: the store can't have gone back, so
-    nothing is to be waited for after a start. `life` is another number for each start."""
+    """The acceptor `name` of `quorum`. `kept` is the content of its store. `trusted` says that the store
+    can't have been restored from an older copy, so that nothing is waited for after a restart. `life`
+    differs for each start of the process."""
 
     def __init__(
         self, name: str, quorum: Quorum, pace: Pace, kept: Kept, now: int, first_term: int = 1,
@@ -82,7 +84,7 @@
     # ---- inputs ------------------------------------------------------------------------------------
 
     def on_request(self, now: int, message: LeaseRequest) -> None:
-        """A proposer's round is answered as a whole, once what it brings about is kept."""
+        """A proposer's request. It is answered as a whole, after the changes that it makes are stored."""
         if not self._well_formed(message):
             return
         if message.stamp > self.stamp:
@@ -110,8 +112,9 @@
         self._answer(now, message.proposer, answer, rows)
 
     def on_recovery_request(self, now: int, message: RecoveryRequest) -> None:
-        """Another acceptor asks what this one remembers, whether or not this one has returned itself. One
-        that has gone back itself says nothing: what it lacks would pass for memory."""
+        """Another acceptor asks for this one's records; it is answered even while this one recovers
+        itself. If this one's store was restored from an older copy it does not answer, as its records
+        would pass for complete."""
         self.returning.meets(message.acceptor, message.generation)
         if self.returning.doubted or self.broken:
             return
@@ -124,8 +127,8 @@
         self.out.append((SAY, message.acceptor, reply))
 
     def on_recovery_reply(self, now: int, message: RecoveryReply) -> None:
-        """What another acceptor remembers: taken in while this one returns, for what it tells of terms at any
-        time."""
+        """Another acceptor's records. They are merged while this one recovers; a newer stamp of this
+        acceptor's own store is noticed at any time."""
         if message.stamp > self.stamp:
             self._went_back(now, message.acceptor, message.stamp)
         if not self.returning.accepts(message):
@@ -140,11 +143,11 @@
             self._keep(now, rows, "", None)
 
     def on_stamp(self, now: int, acceptor: str, stamp: int) -> None:
-        """How much another acceptor has kept, as it says itself."""
+        """How many records another acceptor says that it has stored."""
         self.heard[acceptor] = max(stamp, self.heard.get(acceptor, 0))
 
     def on_quorum(self, now: int, quorum: Quorum) -> None:
-        """New settings. Nothing is granted until majorities of both lists are known to be there."""
+        """New settings. Nothing is granted until majorities of both lists are known to have them."""
         if quorum.generation <= self.quorum.generation:
             return
         self.quorum = quorum
@@ -162,7 +165,7 @@
         )
 
     def on_store_failed(self, now: int, why: str) -> None:
-        """What was to be kept could not be: this acceptor grants nothing any more until it starts anew."""
+        """A write failed: this acceptor grants nothing until the process is restarted."""
         if not self.broken:
             self.broken = why
             self._log("store.failed", StoreUnusable(why, self.name))
@@ -170,15 +173,18 @@
     # ---- decisions ---------------------------------------------------------------------------------
 
     def next_decision(self, now: int) -> tuple | None:
+        """The next decision to carry out, or None."""
         if not self.out and not self.broken:
             self._come_back(now)
         return self.out.popleft() if self.out else None
 
     def wake_at(self) -> int | None:
-        """When this acceptor has something to do by itself: only while it returns."""
+        """When this acceptor has something to do without an input, in microseconds; only while it
+        recovers."""
         return None if self.broken else self.returning.wake_at()
 
     def grants(self) -> bool:
+        """Whether this acceptor answers requests at present."""
         return not self.broken and self.returning.done
 
     def _come_back(self, now: int) -> None:
@@ -217,7 +223,7 @@
         return OtherGeneration.code if message.generation != self.quorum.generation else ""
 
     def _went_back(self, now: int, by: str, stamp: int) -> None:
-        """Somebody has heard of more than this acceptor's store holds: it was put back as it was earlier."""
+        """Somebody has seen a newer stamp than this store holds: it was restored from an older copy."""
         if self.returning.doubt(now, by, self.stamp, stamp):
             self.stamp = stamp
 
@@ -246,7 +252,8 @@
         granted.append(Granted(acquire.task, acquire.place, acquire.term))
 
     def _refusal(self, now: int, proposer: str, acquire: Acquire) -> type[Refusal] | None:
-        """The one rule of the quorum; None where the place is granted."""
+        """The rule by which places are granted: the reason for a refusal, or None where the place is
+        granted."""
         guards, key = self.guards, (acquire.task, acquire.place)
         if not 0 < acquire.length <= self.pace.longest:
             return LeaseTooLong
@@ -263,7 +270,7 @@
         return BehindOthers if ahead >= self._free(now, acquire) else None
 
     def _free(self, now: int, acquire: Acquire) -> int:
-        """How many places of the task that are known here are free, this one among them."""
+        """How many places of the task that are known here are free, counting the requested one."""
         known = {place for task, place in self.guards.term if task == acquire.task} | {acquire.place}
         return sum(not self.guards.left((acquire.task, place), now) for place in known)
 
@@ -285,7 +292,7 @@
             self.out.append((SAY, to, message))
 
     def _keep(self, now: int, keys: list[Key], to: str, message: LeaseReply | None) -> None:
-        """`keys` as they stand now are stored before the message goes out; the stamp counts them."""
+        """Store the present state of `keys`, then send the message. The stamp counts the stored rows."""
         guards = self.guards
         self.stamp += len(keys)
         rows = [
@@ -295,7 +302,7 @@
         self.out.append((KEEP, rows, to, message))
 
     def facts(self) -> dict[str, int]:
-        """What is kept beside the places: see `Kept`."""
+        """What is stored beside the places: see `Kept`."""
         back = self.returning
         return {
             "remembers": int(back.remembers), "settled": back.settled, "stamp": self.stamp,
--- a/linenbridge/fleet/leases/errors.py
+++ b/linenbridge/fleet/leases/errors.py
@@ -1,6 +1,6 @@
-"""What goes wrong with leases, and what acceptors refuse.
+"""Errors of leases, and the reasons for which acceptors refuse a request.
 
-Owns the words only. It must never decide when one of them applies.
+Types only. It must never decide when one of them applies.
 """
 
 from __future__ import annotations
@@ -9,30 +9,40 @@
 
 
 class LeaseError(FleetError):
-    """Anything about leases."""
+    """The base of all errors of leases."""
 
 
 class HeldByAnother(Refusal):
+    """The place is leased to another member."""
+
     code = "held"
     advice = "nothing to do: the place is free again when its holder leaves or its lease runs out"
 
 
 class BehindOthers(Refusal):
+    """Members with lower tickets wait for the task."""
+
     code = "behind"
     advice = "nothing to do: members that asked earlier come first"
 
 
 class OlderTerm(Refusal):
+    """The requested term is not above the newest that the acceptor knows."""
+
     code = "older"
     advice = "nothing to do: the member asks again with a newer term"
 
 
 class LeaseTooLong(Refusal):
+    """The requested length is above the acceptor's `longest`."""
+
     code = "too-long"
     advice = "set the same `lease` in the settings of all members"
 
 
 class AcceptorAside(Refusal):
+    """The acceptor has not recovered yet, or its store failed."""
+
     code = "aside"
     advice = (
         "wait for the longest lease after the acceptor's start; "
@@ -41,12 +51,14 @@
 
 
 class OtherGeneration(Refusal):
+    """Proposer and acceptor have different generations of the quorum."""
+
     code = "generation"
     advice = "hand the newer settings to all members and send each SIGHUP"
 
 
 class QuorumLost(LeaseError):
-    """No majority of the quorum answers: nothing is granted."""
+    """No majority of the acceptors answers: nothing is granted."""
 
     formerly = "CouncilLost"
     advice = (
@@ -55,7 +67,7 @@
 
 
 class MemoryLost(LeaseError):
-    """An acceptor without memory can't hear enough others that have theirs."""
+    """An acceptor without records can't reach enough others that have theirs."""
 
     advice = (
         "start the other acceptors with their stores; if all stores are gone, set `first-term` above every "
@@ -64,7 +76,7 @@
 
 
 class DiskWentBack(LeaseError):
-    """An acceptor's store is older than what others have heard from it."""
+    """An acceptor's store is older than what others have seen of it: it was restored from a copy."""
 
     advice = (
         "the acceptor stands aside and learns anew; find out who restored its store, and never restore one"
@@ -72,7 +84,7 @@
 
 
 class StoreUnusable(LeaseError):
-    """Promises can't be kept on disk: the acceptor grants nothing."""
+    """The store can't be opened or written: the acceptor grants nothing."""
 
     advice = (
         "give the store a disk that can be written, with room; the acceptor takes part again after a restart"
@@ -80,6 +92,6 @@
 
 
 class StoreTorn(LeaseError):
-    """The store can't be read whole."""
+    """The store is damaged: it can't be read completely."""
 
     advice = "move the damaged file away and restart: the acceptor learns anew from the others"
--- a/linenbridge/fleet/leases/guards.py
+++ b/linenbridge/fleet/leases/guards.py
@@ -1,8 +1,6 @@
-"""What one acceptor has granted: the newest term of each place, whose it is, and until when it is kept from
-others.
+"""What one acceptor has granted: for each place the newest term, its holder, and when the lease ends.
 
-Keeps state without I/O. It must never forget a term, nor shorten what it keeps for a holder other than by the
-holder's own word.
+Keeps state without I/O. It must never forget a term, nor shorten a lease unless its holder gives it back.
 """
 
 from __future__ import annotations
@@ -13,7 +11,7 @@
 
 
 class Guards:
-    """Parallel tables by (task, place). Times are on this acceptor's clock."""
+    """Parallel tables by (task, place). Times are microseconds of this acceptor's clock."""
 
     def __init__(self) -> None:
         self.term: dict[Key, int] = {}
@@ -22,24 +20,25 @@
         self.until: dict[Key, int] = {}
 
     def newest(self, key: Key) -> int:
+        """The newest term known of a place, 0 if none."""
         return max(self.term.get(key, 0), self.closed.get(key, 0))
 
     def left(self, key: Key, now: int) -> int:
-        """How long a place is still kept for its holder."""
+        """Microseconds until the lease of a place ends, 0 if it is free."""
         if self.term.get(key, 0) <= self.closed.get(key, 0):
             return 0
         return max(0, self.until.get(key, 0) - now)
 
     def grant(self, key: Key, term: int, holder: str, until: int) -> bool:
-        """Whether what must outlive the process has changed."""
+        """Record a lease. Returns whether the change must be stored."""
         changed = (self.term.get(key), self.holder.get(key)) != (term, holder)
         self.term[key], self.holder[key] = term, holder
         self.until[key] = max(until, self.until.get(key, 0)) if not changed else until
         return changed
 
     def give_back(self, key: Key, term: int, holder: str) -> bool:
-        """The holder leaves: nobody gets that term again. Whether what must outlive the process has
-        changed."""
+        """The holder gives the place back; its term is closed for good. Returns whether the change must
+        be stored."""
         if self.holder.get(key) != holder or self.term.get(key, 0) > term:
             return False
         if self.closed.get(key, 0) >= self.term.get(key, 0):
@@ -48,7 +47,8 @@
         return True
 
     def merge(self, place: PlaceRecord, until: int) -> bool:
-        """What another acceptor remembers; the newer term counts, of the same one the later end."""
+        """Merge another acceptor's record: the newer term counts, for equal terms the later end. Returns
+        whether the change must be stored."""
         key = (place.task, place.place)
         changed = place.closed > self.closed.get(key, 0)
         self.closed[key] = max(place.closed, self.closed.get(key, 0))
@@ -60,7 +60,7 @@
         return changed
 
     def rows(self, now: int) -> list[PlaceRecord]:
-        """All places, in a lasting order."""
+        """The records of all places, sorted by key."""
         keys = sorted(set(self.term) | set(self.closed))
         return [
             PlaceRecord(
--- a/linenbridge/fleet/leases/messages.py
+++ b/linenbridge/fleet/leases/messages.py
@@ -1,6 +1,8 @@
-"""The messages between proposers and acceptors, and between acceptors, as typed arrays.
+"""The messages between proposers and acceptors, and among acceptors, as typed arrays.
 
-Owns their form. It must never check more than the form: bounds are the cores'.
+Types only: values are checked against bounds by the receiver. Field order and tags are the wire format;
+the tags are those of earlier versions, so that members of two versions understand each other. Times are
+microseconds.
 """
 
 from __future__ import annotations
@@ -9,7 +11,7 @@
 
 
 class Acquire(Struct, array_like=True, frozen=True):
-    """One place of a task, for so long, under a term."""
+    """Request for a lease of one place, for `length` microseconds, under a term."""
 
     task: str
     place: int
@@ -18,7 +20,7 @@
 
 
 class Relinquish(Struct, array_like=True, frozen=True):
-    """A place given back, or an ask for it taken back, up to a term."""
+    """The sender gives up a place, and every request for it, up to and including a term."""
 
     task: str
     place: int
@@ -26,7 +28,7 @@
 
 
 class StatusQuery(Struct, array_like=True, frozen=True):
-    """To be told how a task stands; `ticket` keeps the turn among those that wait (0: none yet)."""
+    """Request for the status of a task. `ticket` is the sender's position in the queue (0: none yet)."""
 
     task: str
     places: int
@@ -34,8 +36,8 @@
 
 
 class LeaseRequest(Struct, array_like=True, frozen=True, tag="round"):
-    """One proposer's round: everything it has to say, to every acceptor alike. `stamps` is the newest that
-    it heard of the acceptor that it is sent to."""
+    """One proposer's request for all of its tasks, the same to every acceptor. `stamp` is the newest
+    stamp that it has seen of the acceptor that it is sent to."""
 
     number: int
     proposer: str
@@ -47,7 +49,7 @@
 
 
 class Granted(Struct, array_like=True, frozen=True):
-    """An acceptor's yes."""
+    """A lease that an acceptor has granted or renewed."""
 
     task: str
     place: int
@@ -55,7 +57,7 @@
 
 
 class Rejected(Struct, array_like=True, frozen=True):
-    """An acceptor's no: which refusal, and the newest term it knows of the place."""
+    """A lease that an acceptor has refused: the reason, and the newest term it knows of the place."""
 
     task: str
     place: int
@@ -65,8 +67,8 @@
 
 
 class TaskStatus(Struct, array_like=True, frozen=True):
-    """How a task stands at an acceptor: the newest ticket, the proposer's position among those that wait,
-    and for each place the newest term, how long it is still another's, and whose."""
+    """The status of a task at an acceptor: the newest ticket, how many wait before the sender, and for
+    each place the newest term, the time left of another member's lease, and its holder."""
 
     task: str
     ticket: int
@@ -77,7 +79,8 @@
 
 
 class LeaseReply(Struct, array_like=True, frozen=True, tag="said"):
-    """An acceptor's answer to one round. `code` is not empty where the acceptor says no to all of it."""
+    """An acceptor's answer to one request. `code` is the reason if the acceptor refuses the whole
+    request, else empty."""
 
     number: int
     acceptor: str
@@ -90,7 +93,7 @@
 
 
 class RecoveryRequest(Struct, array_like=True, frozen=True, tag="recall"):
-    """An acceptor that comes back asks what another remembers."""
+    """An acceptor that recovers asks another for its records."""
 
     number: int
     acceptor: str
@@ -98,7 +101,8 @@
 
 
 class PlaceRecord(Struct, array_like=True, frozen=True):
-    """What an acceptor remembers of one place: newest term and whose, the term given back, what is left."""
+    """An acceptor's record of one place: newest term and its holder, the last term given back, the time
+    left."""
 
     task: str
     place: int
@@ -109,9 +113,9 @@
 
 
 class RecoveryReply(Struct, array_like=True, frozen=True, tag="table"):
-    """All that an acceptor remembers. `own` is the number of its own return, `blank` that of the asking
-    acceptor's return in which this one saw it without memory when it founded the quorum (0: it did not).
-    `stamp` is the newest it heard of the acceptor that asked."""
+    """All records of an acceptor. `own` is the number of its own recovery. `blank` is the number of the
+    asking acceptor's recovery in which the sender saw it without records when it founded the quorum (0:
+    it did not). `stamp` is the newest stamp that the sender has seen of the asking acceptor."""
 
     number: int
     acceptor: str
--- a/linenbridge/fleet/leases/proposer.py
+++ b/linenbridge/fleet/leases/proposer.py
@@ -1,16 +1,15 @@
-"""One member's side of leases: it asks the acceptors for the tasks it stands for, and knows until when it may
-act.
+"""One member's side of leases: it requests leases for its tasks and knows until when each one is held.
 
-Decides without I/O. Whether it may act is answered anew at each act, by the clock as it is then
-(`may_act`): a process that was stopped finds out before it acts. It must never count a yes from later than
-it asked, nor act on a majority of fewer than both lists of acceptors.
+Decides without I/O. Whether the member may act is answered at each act, by the clock as it is then
+(`may_act`), so a process that was stopped for a while finds out before it acts. A lease must never be
+counted from later than the request was sent, nor by less than a majority of both lists of acceptors.
 
 Decisions, as plain tuples:
 
-    (SAY, acceptor, message)  send a message to an acceptor
-    (HELD, task, place, term) this member holds a place from now on
-    (LOST, task, place, term) it does no more: run out, or given back
-    (LOG, name, fields)       one line of the log
+    (SAY, acceptor, message)   send a message to an acceptor
+    (HELD, task, place, term)  this member holds a place from now on
+    (LOST, task, place, term)  it does not any more: the lease ended, or was given back
+    (LOG, name, fields)        one line of the log
 """
 
 from __future__ import annotations
@@ -38,7 +37,8 @@
 
 
 class Proposer:
-    """`name` must be another for each start of the process: what an earlier one held is not this one's."""
+    """`name` differs for each start of the process: a restarted process does not hold what it held
+    before."""
 
     def __init__(self, name: str, quorum: Quorum, pace: Pace, seed: int, now: int) -> None:
         self.name, self.quorum, self.pace, self.random = name, quorum, pace, Random(seed)
@@ -54,13 +54,13 @@
     # ---- inputs ------------------------------------------------------------------------------------
 
     def stand_for(self, now: int, task: str, places: int = 1) -> None:
-        """Ask for a place of that task from now on."""
+        """Request a place of that task from now on."""
         if task not in self.holds or self.holds[task].state == LEAVING:
             self.holds[task] = Hold(task, places, now)
             self.beat_at = min(self.beat_at, now)
 
     def leave(self, now: int, task: str) -> None:
-        """Give the task back, or stop asking for it."""
+        """Give the task back, or stop requesting it."""
         if (hold := self.holds.get(task)) is None or hold.state == LEAVING:
             return
         if hold.state == HOLDING:
@@ -69,7 +69,7 @@
         self.beat_at = now
 
     def on_quorum(self, now: int, quorum: Quorum) -> None:
-        """New settings. What was held stays so as long as the acceptors that were asked keep it."""
+        """New settings. A lease stays held for as long as the earlier acceptors granted it."""
         if quorum.generation > self.quorum.generation:
             for hold in self.holds.values():
                 if hold.state == HOLDING:
@@ -77,7 +77,7 @@
             self.quorum, self.beat_at = quorum, now
 
     def on_reply(self, now: int, message: LeaseReply) -> None:
-        """One acceptor's answer to one round; one that comes late or twice tells nothing new."""
+        """An acceptor's answer to a request; a late or repeated one changes nothing."""
         asked = self.sent.get(message.number)
         if asked is None or message.acceptor not in self.quorum.everyone():
             return
@@ -102,7 +102,7 @@
     # ---- what the host asks at each act ------------------------------------------------------------
 
     def may_act(self, now: int, task: str) -> int | None:
-        """The term under which this member may act on the task at this very moment; None: it may not."""
+        """The term under which this member may act on the task at this moment; None if it may not."""
         hold = self.holds.get(task)
         if hold is None or hold.state != HOLDING:
             return None
@@ -110,13 +110,14 @@
         return hold.term if until is not None and now < until else None
 
     def holds_until(self, task: str) -> int | None:
-        """On this member's clock; None where it holds nothing of the task."""
+        """When the lease of the task ends, on this member's clock; None if it holds none."""
         hold = self.holds.get(task)
         return hold.until(self.quorum, self.pace) if hold is not None and hold.state == HOLDING else None
 
     # ---- decisions ---------------------------------------------------------------------------------
 
     def next_decision(self, now: int) -> tuple | None:
+        """The next decision to carry out, or None."""
         if not self.out:
             self._expire(now)
             if now >= self.beat_at:
@@ -124,6 +125,7 @@
         return self.out.popleft() if self.out else None
 
     def wake_at(self) -> int | None:
+        """When this member has something to do without an input, in microseconds; None without tasks."""
         ends = [until for task in self.holds if (until := self.holds_until(task)) is not None]
         return min([self.beat_at, *ends]) if self.holds else None
 
@@ -145,7 +147,7 @@
         )
 
     def _on_statuses(self, now: int, answers: list[LeaseReply]) -> None:
-        """A majority has told how tasks stand: get in line, or take a place that is free."""
+        """A majority has answered with the status of tasks: take a ticket, or request a free place."""
         by_task: dict[str, list[TaskStatus]] = {}
         for reply in answers:
             for row in reply.statuses:
@@ -176,7 +178,7 @@
             self.out.append((LOG, "council.newer", OtherGeneration(what, message.acceptor).fields()))
 
     def _free_at_majority(self, answers: list[LeaseReply], hold: Hold) -> list[int]:
-        """The places that a majority of the acceptors keeps for nobody."""
+        """The places that are free at a majority of the acceptors."""
         free = []
         for place in range(hold.places):
             acceptors = [
@@ -215,7 +217,7 @@
             self.out.append((LOG, "council.lost", error.fields()))
 
     def _request(self, now: int) -> None:
-        """Everything this member has to say, to all acceptors alike: one call to each, however many tasks."""
+        """One request for all tasks, the same to every acceptor, however many tasks there are."""
         heard = now - self.heard_at <= LOST_AFTER * self.pace.beat
         acquires, relinquishes, queries = list[Acquire](), list[Relinquish](), list[StatusQuery]()
         for task, hold in self.holds.items():
--- a/linenbridge/fleet/leases/returning.py
+++ b/linenbridge/fleet/leases/returning.py
@@ -1,9 +1,11 @@
-"""How an acceptor comes back: after a start, after its store went back, after a change of the quorum.
-
-Decides without I/O. An acceptor that may have forgotten first lets the longest lease run out, then hears
-from so many others with memory that every majority it was part of has one among them. When the quorum
-changes it hears from majorities of both lists, all with the new settings. It must never count an acceptor
-without memory for one with it, save where all acceptors say that they have none: then the quorum is founded.
+"""When an acceptor may grant again: after a restart, after its store was restored, after a change of the
+quorum.
+
+Decides without I/O. An acceptor that may have lost records first waits for the longest lease, then
+collects the records of enough others that every majority it was part of has a member among them. When the
+quorum changes it waits for majorities of both lists, all with the new settings. An acceptor without
+records must never count as one with records, except when all acceptors report that they have none: then
+the quorum is founded anew.
 """
 
 from __future__ import annotations
@@ -19,7 +21,8 @@
 
 
 class Returning:
-    """`done` while the acceptor may grant. `settled` is the newest generation in which it could."""
+    """`done` while the acceptor may grant. `settled` is the newest generation of the quorum in which it
+    could."""
 
     def __init__(
         self, acceptor: str, quorum: Quorum, pace: Pace, remembers: bool, settled: int, now: int, life: int,
@@ -43,14 +46,15 @@
         self.asked_at = self.from_at
 
     def moves(self, now: int, quorum: Quorum) -> None:
-        """The quorum has changed. One that stands aside already goes on doing so."""
+        """The quorum has changed. A recovery that is under way goes on."""
         self.quorum = quorum
         if self.done:
             self._begin(now, forgot=False)
         self.tables = {}
 
     def doubt(self, now: int, by: str, own: int, heard: int) -> bool:
-        """The store went back: begin anew as one that forgot. Whether that is news."""
+        """The store was restored from an older copy: recover as an acceptor without records. Returns
+        True."""
         news = not self.doubted
         self.doubted, self.grounds = True, (by, own, heard)
         self._begin(now, forgot=True)
@@ -58,12 +62,14 @@
         return True
 
     def meets(self, acceptor: str, generation: int) -> None:
-        """Another acceptor's recall shows that it is there anew: its older table says nothing any more."""
+        """Another acceptor's recovery request: if it has changed its generation, its earlier reply is
+        void."""
         if (table := self.tables.get(acceptor)) is not None and table.generation != generation:
             del self.tables[acceptor]
 
     def accepts(self, message: RecoveryReply) -> bool:
-        """Whether a table answers this return's own recall; one from a newer quorum is none of it."""
+        """Whether a reply answers this recovery's own request under the same generation; if so it is
+        kept."""
         fits = message.number == self.number and message.generation == self.quorum.generation
         if self.done or not fits or message.acceptor not in self.quorum.everyone():
             return False
@@ -71,7 +77,7 @@
         return True
 
     def asks(self, now: int) -> Iterator[tuple[str, RecoveryRequest]]:
-        """Recalls to the others, once nothing that was granted before can still stand; each beat anew."""
+        """Recovery requests to the other acceptors, once each beat after the waiting time."""
         if self.done or now < self.asked_at:
             return
         self.asked_at = now + self.pace.beat
@@ -80,7 +86,8 @@
                 yield other, RecoveryRequest(self.number, self.acceptor, self.quorum.generation)
 
     def returned(self, now: int) -> str | None:
-        """The grounds on which the acceptor grants from now on; None while there are none."""
+        """The grounds on which the acceptor may grant from now on (`founded`, `recalled`, `settled`), or
+        None."""
         if self.done or now < self.from_at:
             return None
         grounds = self._grounds()
@@ -115,14 +122,15 @@
         return "recalled" if self.forgot else "settled"
 
     def _counts(self, table: RecoveryReply) -> bool:
-        """One that was away for two changes of the quorum lacks what the last one settled."""
+        """An acceptor that missed two changes of the quorum does not know what the last one settled."""
         return table.remembers and table.settled >= self.quorum.generation - 2
 
     def wake_at(self) -> int | None:
+        """When there is something to do without an input, in microseconds; None when done."""
         return None if self.done else min(self.asked_at, self.say_at)
 
     def notes(self, now: int) -> Iterator[LeaseError]:
-        """What the people on call should hear of, once a while."""
+        """Errors to be logged: a restored store once, missing answers at intervals."""
         if self.afresh:
             self.afresh = False
             by, own, heard = self.grounds
--- a/linenbridge/fleet/leases/terms.py
+++ b/linenbridge/fleet/leases/terms.py
@@ -1,7 +1,7 @@
-"""Time in leases: how long a holder may act, how long an acceptor keeps a place from others.
+"""Durations of leases: how long a holder may act, how long an acceptor keeps a place from others.
 
-Decides without I/O. It must never compare readings of two clocks: lengths only, with the part by which
-clocks may run apart on the holder's side.
+Decides without I/O. Readings of two clocks must never be compared: only durations are, corrected by the
+bound on clock drift.
 """
 
 from __future__ import annotations
@@ -12,8 +12,8 @@
 
 
 class Pace(NamedTuple):
-    """What the settings say of times, all in microseconds but `apart`: two clocks run apart by at most so
-    many millionths of the time that either shows."""
+    """The durations in the settings, in microseconds. `apart` bounds the drift between two clocks, in
+    millionths."""
 
     length: int  # of a lease, on the acceptor's clock, from its accepting
     longest: int  # what no member's settings may exceed
@@ -22,21 +22,21 @@
 
 
 def acts_until(pace: Pace, asked: int) -> int:
-    """On the holder's clock: it asked at `asked`, acceptors counted from later and by clocks that may be
-    faster."""
+    """When a lease ends on the holder's clock, counted from when the request was sent, with the drift
+    taken off."""
     return asked + pace.length - -(-pace.length * pace.apart // PARTS)
 
 
 def stands_aside(pace: Pace) -> int:
-    """How long an acceptor that may have forgotten waits: on a clock that may be faster than any holder's."""
+    """How long an acceptor that may have lost records waits: the longest lease plus the drift."""
     return pace.longest + -(-pace.longest * pace.apart // PARTS)
 
 
 def heard_left(pace: Pace, left: int) -> int:
-    """What another acceptor says is left of a lease, on this acceptor's clock."""
+    """The time left of a lease by another acceptor's word, plus the drift of this one's clock."""
     return left + -(-left * pace.apart // PARTS)
 
 
 def patience(pace: Pace) -> int:
-    """How long one that waits keeps its turn without being heard."""
+    """How long a waiting member keeps its position without sending a request."""
     return 3 * pace.beat
--- a/linenbridge/fleet/store/__init__.py
+++ b/linenbridge/fleet/store/__init__.py
@@ -1,1 +1,1 @@
-"""What outlives the process: an acceptor's promises."""
+"""The durable state of an acceptor."""
--- a/linenbridge/fleet/store/promises.py
+++ b/linenbridge/fleet/store/promises.py
@@ -1,8 +1,9 @@
-"""An acceptor's promises on disk: one file of an embedded store (SQLite by `apsw`), written before the
-acceptor answers.
+"""An acceptor's records on disk, in one file of an embedded store (SQLite by `apsw`), written before it
+answers.
 
-Owns the file and every transaction on it; each row carries a sum over itself. It must never repair or guess:
-what can't be read whole is said, and the acceptor comes back as one without memory or not at all.
+Owns the file and every transaction on it; each row carries a checksum. It must never repair or guess:
+what can't be read is reported, and the acceptor recovers as one without records, or does not start
+granting.
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
 
 
 class Promises:
-    """One acceptor's file. Every call may raise StoreUnusable; `read` StoreTorn too."""
+    """One acceptor's file. Every call may raise StoreUnusable; `read` may raise StoreTorn too."""
 
     def __init__(self, path: str, acceptor: str) -> None:
         self.path, self.acceptor = path, acceptor
@@ -57,8 +58,8 @@
         return StoreUnusable(f"{type(error).__name__}: {error}", self.path)
 
     def read(self) -> Kept:
-        """What the file holds; a new file holds nothing, and is written to once, so that a disk that can't be
-        is seen before anything is promised."""
+        """The content of the file. A new file is written to once, so that a disk that can't be written is
+        noticed before anything is granted."""
         try:
             (form,), *_ = self._do("pragma user_version")
             if form not in (0, FORM):
@@ -90,7 +91,8 @@
             raise StoreTorn(f"the row of {fields[0]} is not as it was written", self.path)
 
     def keep(self, rows: list[tuple], facts: dict[str, int]) -> None:
-        """For good, or StoreUnusable: then nothing of it counts as kept."""
+        """Store rows and facts durably in one transaction, or raise StoreUnusable: then none of them is
+        stored."""
         try:
             with self.connection:
                 for row in rows:
@@ -106,19 +108,19 @@
 
 
 class NoPromises:
-    """Where an acceptor has no disk that lasts: it comes back as one without memory."""
+    """For an acceptor without a disk: it recovers after each start as one without records."""
 
     def read(self) -> Kept:
         return Kept()
 
     def keep(self, rows: list[tuple], facts: dict[str, int]) -> None:
-        """Nothing outlives the process."""
+        """Nothing is stored."""
 
     def close(self) -> None: ...
 
 
 def promises(path: str, acceptor: str) -> Promises | NoPromises:
-    """The acceptor's store; "" is none."""
+    """The acceptor's store; NoPromises if `path` is empty."""
     if not path:
         return NoPromises()
     folder = os.path.dirname(path)
