--- /dev/null
+++ b/tests/distribution/log/test_store.py
@@ -0,0 +1,143 @@
+"""A relay's log on disk: what is kept comes back; what is damaged, full, read-only or older is said."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+
+import apsw
+import pytest
+
+from linenbridge.distribution.changes import Kind, Version, sealed
+from linenbridge.distribution.decisions import Keep, Send
+from linenbridge.distribution.errors import RelayStoreError
+from linenbridge.distribution.messages import Append, Prepare
+from linenbridge.distribution.replica import Kept, Replica
+from linenbridge.distribution.store.log import FILE_NAME, RelayLog
+
+ENTRIES = [sealed("north", Version(1, n), Kind.TENANT, f"t{n}", b"%d" % n) for n in range(1, 6)]
+
+
+def keep(number: int, **fields: object) -> Keep:
+    words = {"truncate_after": None, "changes": [], "epoch": 1, "committed": 0, "publisher": "p", "life": 7}
+    return Keep(number, **{**words, **fields})
+
+
+def opened(folder: Path) -> RelayLog:
+    store = RelayLog(str(folder), "north")
+    store.read()
+    return store
+
+
+def test_what_is_kept_comes_back_and_a_new_file_holds_nothing(tmp_path):
+    store = RelayLog(str(tmp_path), "north")
+    assert store.read() == Kept()
+    store.keep([keep(1, changes=ENTRIES[:3]), keep(2, truncate_after=2, changes=ENTRIES[3:], epoch=2)])
+    store.keep([keep(3, committed=4, superseded=[1], epoch=2)])
+    store.close()
+    kept = RelayLog(str(tmp_path), "north").read()
+    assert kept == Kept(7, 2, "p", 4, [ENTRIES[1], *ENTRIES[3:]])
+
+
+def test_what_was_kept_survives_a_kill_right_after_it(tmp_path):
+    text = (
+        "import os, sys; from tests.distribution.log.test_store import *\n"
+        "store = opened(sys.argv[1])\n"
+        "store.keep([keep(1, changes=ENTRIES)]); os.kill(os.getpid(), 9)"
+    )
+    root = Path(__file__).parents[3]
+    assert subprocess.run([sys.executable, "-c", text, str(tmp_path)], cwd=root).returncode == -9
+    assert RelayLog(str(tmp_path), "north").read().changes == ENTRIES
+
+
+DAMAGES = {
+    "a value": ("update entry set value = x'00' where sequence = 2", "entry 2 is not as it was written"),
+    "a lost entry": ("delete from entry where sequence = 5", "4 entries of 5"),
+    "the epoch": ("update state set words = x'9600'", "the state is not as it was written"),
+    "the form": ("pragma user_version=9", "form 9"),
+}
+
+
+@pytest.mark.parametrize("damage", DAMAGES)
+def test_damage_is_said(tmp_path, damage):
+    store = opened(tmp_path)
+    store.keep([keep(1, changes=ENTRIES)])
+    store.close()
+    words, said = DAMAGES[damage]
+    changed = apsw.Connection(str(tmp_path / FILE_NAME))
+    changed.execute(words)
+    changed.close()
+    with pytest.raises(RelayStoreError, match=said):
+        RelayLog(str(tmp_path), "north").read()
+
+
+def test_a_torn_file_another_regions_and_one_in_use_are_said(tmp_path):
+    (tmp_path / FILE_NAME).write_bytes(os.urandom(8192))
+    with pytest.raises(RelayStoreError):
+        RelayLog(str(tmp_path), "north").read()
+    (tmp_path / FILE_NAME).unlink()
+    store = opened(tmp_path)
+    with pytest.raises(RelayStoreError):
+        RelayLog(str(tmp_path), "north").read()
+    store.close()
+    with pytest.raises(RelayStoreError, match="the log of north"):
+        RelayLog(str(tmp_path), "south").read()
+
+
+def test_a_disk_that_takes_nothing_is_said_before_anything_is_promised(tmp_path):
+    with pytest.raises(RelayStoreError, match="no folder"):
+        RelayLog(str(tmp_path / "none"), "north")
+    (tmp_path / "taken" / FILE_NAME).mkdir(parents=True)
+    with pytest.raises(RelayStoreError):
+        RelayLog(str(tmp_path / "taken"), "north").read()
+
+
+def test_a_full_disk_keeps_nothing_of_what_it_refused_and_silences_the_relay(tmp_path):
+    store = opened(tmp_path)
+    store.keep([keep(1, changes=ENTRIES[:2])])
+    (pages,) = store._connection.execute("pragma page_count").fetchone()
+    store._connection.execute(f"pragma max_page_count={pages}")
+    large = [sealed("north", Version(1, n), Kind.TENANT, f"t{n}", b"x" * 4_000) for n in range(3, 60)]
+    with pytest.raises(RelayStoreError, match="FullError") as full:
+        store.keep([keep(2, changes=large)])
+    store._connection.execute("pragma max_page_count=1000000")
+    store.keep([keep(2, changes=ENTRIES[2:3])])
+    store.close()
+    assert RelayLog(str(tmp_path), "north").read().changes == ENTRIES[:3]
+    replica = Replica("north", "a", Kept(7, 1, "p", 0, ENTRIES), True, Random(1))
+    replica.on_prepare(1, "q", Prepare("north", 2))
+    replica.on_store_failed(1, full.value)
+    replica.on_prepare(1, "q", Prepare("north", 3))
+    replica.on_append(1, "q", Append("north", 3, ENTRIES[-1].version, 5, []))
+    left = list(iter(lambda: replica.next_decision(1), None))
+    assert not any(isinstance(decision, Send | Keep) for decision in left)
+    assert left[-1].name == "distribution.store_failed" and "empty the store" in left[-1].fields["do"]
+
+
+def test_a_disk_put_back_older_begins_a_new_life(tmp_path):
+    """Without the operator's word that it never goes back, a start takes no memory for complete."""
+    folder, copy = tmp_path / "now", tmp_path / "copy"
+    folder.mkdir()
+    store = opened(folder)
+    store.keep([keep(1, changes=ENTRIES[:2], committed=2)])
+    store.close()
+    shutil.copytree(folder, copy)
+    store = opened(folder)
+    store.keep([keep(2, changes=ENTRIES[2:], committed=5, epoch=3)])
+    store.close()
+    kept = opened(copy).read()
+    assert kept.epoch == 1 and len(kept.changes) == 2
+    replica = Replica("north", "a", kept, trusted=False, random=Random(2))
+    assert replica.life != kept.life and not replica.member
+    assert Replica("north", "a", kept, trusted=True, random=Random(2)).life == kept.life
+
+
+def test_a_disk_that_became_read_only_is_said(tmp_path):
+    store = opened(tmp_path)
+    store._connection.execute("pragma query_only=1")
+    with pytest.raises(RelayStoreError, match="ReadOnlyError"):
+        store.keep([keep(1, changes=ENTRIES)])
