--- a/linenbridge/distribution/decisions.py
+++ b/linenbridge/distribution/decisions.py
@@ -9,14 +9,14 @@
 from msgspec import Struct, field
 
 from linenbridge.distribution.changes import Change, Version
-from linenbridge.distribution.messages import Message
+from linenbridge.distribution.messages import EncodedBatch, EncodedWhole, Message, Summary
 
 
 class Send(Struct, frozen=True):
     """A message to a name; one that cannot be reached loses it, as on any network."""
 
     to: str
-    message: Message
+    message: Message | EncodedBatch | EncodedWhole
 
 
 class Keep(Struct, frozen=True):
@@ -41,23 +41,34 @@
 
 class Apply(Struct, frozen=True):
     """Changes for the view, in force together between two requests; then the follower is at `upto`. The host
-    answers with `Follower.on_applied`. `digest` is the relay's at `upto`, where it said so."""
+    answers with `Follower.on_applied`. `digest` is the relay's at `upto`, where it said so; `horizon` is for
+    a table that hands the changes on."""
 
     region: str
     upto: Version
     changes: list[Change]
     digest: int | None = None
+    horizon: int = 0
 
 
 class ReplaceRange(Struct, frozen=True):
     """The complete content of one range of a region's keys at `upto`: keys at versions up to it that are not
-    named are gone. With `final` the follower is at `upto`."""
+    named are gone; newer versions than `upto` may be named. With `final` the follower is at `upto`. The host
+    answers each with `Follower.on_applied`."""
 
     region: str
     upto: Version
     range: int
     changes: list[Change]
     final: bool
+    horizon: int = 0
+
+
+class SumsBelow(Struct, frozen=True):
+    """How far all below a relay are in the other regions: for `on_progress_below` of each follower that the
+    relay hosts."""
+
+    summaries: list[Summary]
 
 
 class Dial(Struct, frozen=True):
@@ -79,4 +90,4 @@
     fields: dict[str, object]
 
 
-Decision = Send | Keep | Committed | Apply | ReplaceRange | Dial | HangUp | Event
+Decision = Send | Keep | Committed | Apply | ReplaceRange | SumsBelow | Dial | HangUp | Event
--- a/linenbridge/distribution/errors.py
+++ b/linenbridge/distribution/errors.py
@@ -29,6 +29,20 @@
     advice = "start more relays in this region, or raise `followers` where the machine has room"
 
 
+class RelayBehind(Refusal):
+    """The relay has just started and has not caught up with the other regions."""
+
+    code = "behind"
+    advice = "none: the follower goes to another relay; if it lasts, look at the links between the regions"
+
+
+class SilentFollower(Refusal):
+    """Nothing was heard of the follower for long, or it is not known here any more."""
+
+    code = "silent"
+    advice = "none if it is rare: the follower begins anew; else look at its machine's load and its links"
+
+
 class ForeignKey(Refusal):
     """The key belongs to another region."""
 
--- a/linenbridge/distribution/messages.py
+++ b/linenbridge/distribution/messages.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from zlib import crc32
+
+from msgspec import Raw, Struct
 
 from linenbridge.distribution.changes import Change, Position, Version
 
@@ -98,7 +100,10 @@
 
 class Batch(Struct, array_like=True, frozen=True, tag="batch"):
     """All keys whose newest version lies behind `after`, up to `upto`, each at that version. `digest` is
-    that of the relay's whole table of the region, given where `upto` is its head. No changes: a heartbeat."""
+    that of the relay's whole table of the region, given where `upto` is its head. No changes: a heartbeat.
+    `horizon`: a follower behind it asks for ranges, by `Digests`. `checksum` is `batch_checksum`'s.
+    `number` counts the session's `Batch` and `Whole` messages from 1, so that a lost, repeated or reordered
+    one is noticed."""
 
     session: int
     region: str
@@ -106,12 +111,31 @@
     upto: Version
     changes: list[Change]
     digest: int | None = None
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
+
+
+class EncodedBatch(Struct, array_like=True, frozen=True, tag="batch"):
+    """A `Batch` whose changes are encoded already, once for all followers at a position: the same bytes on
+    the link, where it is decoded as a `Batch`."""
+
+    session: int
+    region: str
+    after: int
+    upto: Version
+    changes: Raw
+    digest: int | None = None
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
 
 
 class Whole(Struct, array_like=True, frozen=True, tag="whole"):
     """A part of one range of a region's keys, complete at `upto` with its `last` part: what the range does
-    not name is gone. `final` stands in the last part of the last range that the relay sends: then the
-    follower is at `upto`."""
+    not name is gone. It may name newer versions than `upto`, which is the same in all ranges of a transfer.
+    `final` stands in the last part of the last range that the relay sends: then the follower is at `upto`.
+    `horizon` is the relay's, `checksum` is `whole_checksum`'s, `number` counts as in `Batch`."""
 
     session: int
     region: str
@@ -121,11 +145,30 @@
     last: bool
     final: bool
     changes: list[Change]
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
+
+
+class EncodedWhole(Struct, array_like=True, frozen=True, tag="whole"):
+    """A `Whole` whose changes are encoded already: the same bytes on the link."""
+
+    session: int
+    region: str
+    upto: Version
+    range: int
+    part: int
+    last: bool
+    final: bool
+    changes: Raw
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
 
 
 class Digests(Struct, array_like=True, frozen=True, tag="digests"):
-    """The digests of ranges, from `first` on, 8 bytes each: by a follower of its own, so that only what
-    differs is transferred."""
+    """A follower asks for ranges: those whose digests differ from its own, which it sends from `first` on, 8
+    bytes each, the highest byte first; all of them where it sends none. `at` is its position."""
 
     session: int
     region: str
@@ -136,12 +179,15 @@
 
 
 class Progress(Struct, array_like=True, frozen=True, tag="progress"):
-    """How far a follower is: on change, and as its heartbeat. `below` sums up its own followers."""
+    """How far a follower is: on change, and as its heartbeat. `below` sums up its own followers. `received`
+    counts the session's `Batch` and `Whole` messages that it is done with. Session 0: the follower lives and
+    follows another relay."""
 
     follower: str
     session: int
     positions: list[Position]
     below: list[Summary]
+    received: int = 0
 
 
 class Summary(Struct, array_like=True, frozen=True):
@@ -183,6 +229,18 @@
     unreached_count: int = 0
 
 
+def batch_checksum(region: str, after: int, upto: Version, encoded: bytes) -> int:
+    """Over a batch's place in the log and its encoded list of changes, so that a cut or exchanged list is
+    noticed; each change has a checksum of its own besides."""
+    return crc32(encoded, crc32(f"{region} {after} {upto.epoch} {upto.sequence}".encode()))
+
+
+def whole_checksum(region: str, upto: Version, index: int, part: int, last: bool, encoded: bytes) -> int:
+    """The same for a part of a range."""
+    place = f"{region} {upto.epoch} {upto.sequence} {index} {part} {last:d}"
+    return crc32(encoded, crc32(place.encode()))
+
+
 Message = (
     Prepare | Prepared | Fetch | Fetched | Append | Appended
     | Follow | Refused | Batch | Whole | Digests | Progress | Publish | Published
--- /dev/null
+++ b/linenbridge/distribution/table.py
@@ -0,0 +1,272 @@
+"""A relay's table of one region: the newest change of each key, in order of sequence and by range.
+
+Keeps state without I/O. It is a compacted log: a key that changes again loses its older place, a deleted
+key stays as a tombstone until there are too many of them. `horizon` is the highest sequence of a tombstone
+let go: a follower behind it cannot learn of that deletion from the changes, and takes whole ranges instead.
+Changes are held encoded, as they go over the wire: one encoding serves all followers.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+from msgspec import Struct
+
+from linenbridge.distribution.changes import (
+    RANGES, START, Change, Version, added, range_of, removed,
+)  # fmt: skip
+
+TOMBSTONES_MOST = 65_536  # in one region's table; about five days of replaced instances
+_HOLES_LEAST = 1_024  # below this many, places of superseded changes are not worth a compaction
+_DIGEST_BYTES = 8
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Change).decode
+
+
+class _Place(Struct, array_like=True, frozen=True):
+    """The first fields of an encoded change, which is all that its order depends on."""
+
+    region: str
+    epoch: int
+    sequence: int
+
+    @property
+    def version(self) -> Version:
+        return Version(self.epoch, self.sequence)
+
+
+_decode_place = msgspec.msgpack.Decoder(_Place).decode
+
+
+class Entry(NamedTuple):
+    """One encoded change and its place in the log."""
+
+    sequence: int
+    encoded: bytes
+
+
+class Page(NamedTuple):
+    """Encoded changes that lie behind a sequence, complete up to `upto`."""
+
+    upto: Version
+    encoded: list[bytes]
+
+
+class Table:
+    """All keys of one region, at `head` unless `replacing`: then ranges of a newer state are being taken."""
+
+    def __init__(self, region: str, tombstones_most: int = TOMBSTONES_MOST) -> None:
+        self.region = region
+        self.head = START
+        self.horizon = 0
+        self.replacing = False
+        self._tombstones_most = tombstones_most
+        self._ranges: list[dict[str, bytes]] = [{} for _ in range(RANGES)]
+        self._digests = [0] * RANGES
+        self._digest = 0
+        self._sequences: list[int] = []
+        self._keys: list[str | None] = []  # of the same places; None: superseded
+        self._live = 0
+        self._tombstones: deque[int] = deque()
+        self._tombstones_live = 0
+
+    def __len__(self) -> int:
+        """Keys, deleted ones that are still remembered among them."""
+        return self._live
+
+    @property
+    def digest(self) -> int:
+        """Of the whole table, as `changes.digest_of` has it."""
+        return self._digest
+
+    @property
+    def tombstones(self) -> int:
+        return self._tombstones_live
+
+    def range_digests(self) -> bytes:
+        """The digests of all ranges, 8 bytes each, the highest byte first."""
+        return b"".join(digest.to_bytes(_DIGEST_BYTES, "big") for digest in self._digests)
+
+    def newest(self, kind: int, name: str) -> Change | None:
+        """The newest change of a key; one without a value is a tombstone."""
+        encoded = self._ranges[range_of(kind, name)].get(_key(kind, name))
+        return None if encoded is None else _decode(encoded)
+
+    # ---- changes in order ------------------------------------------------------------------------------
+
+    def apply(self, upto: Version, changes: Iterable[Change], horizon: int = 0) -> None:
+        """Take all changes behind the head, up to `upto`, in order. Older ones are passed over. `horizon` is
+        that of the table that they come from."""
+        for change in changes:
+            if change.version > self.head:
+                self._append(change)
+        self.head = max(self.head, upto)
+        self.horizon = max(self.horizon, horizon)
+        self._tidy()
+
+    def _append(self, change: Change) -> None:
+        key = self._store(change)
+        if key is None:
+            return
+        if self._sequences and change.sequence <= self._sequences[-1]:
+            self._insert(change, key)
+            return
+        self._sequences.append(change.sequence)
+        self._keys.append(key)
+        if not change.value:
+            self._tombstones.append(change.sequence)
+
+    def _store(self, change: Change) -> str | None:
+        """Put a change in the place of an older one of its key; the key, or None where the change is not
+        newer."""
+        index, key = range_of(change.kind, change.name), _key(change.kind, change.name)
+        kept = self._ranges[index].get(key)
+        if kept is not None:
+            older = _decode(kept)
+            if older.version >= change.version:
+                return None
+            self._forget(index, key, older)
+        self._ranges[index][key] = _encode(change)
+        self._digests[index] = added(self._digests[index], change)
+        self._digest = added(self._digest, change)
+        self._live += 1
+        self._tombstones_live += not change.value
+        return key
+
+    def _forget(self, index: int, key: str, change: Change) -> None:
+        """Take a change out of its range and leave a hole in the order."""
+        del self._ranges[index][key]
+        self._digests[index] = removed(self._digests[index], change)
+        self._digest = removed(self._digest, change)
+        self._live -= 1
+        self._tombstones_live -= not change.value
+        place = self._find(change.sequence)
+        if place is not None and self._keys[place] == key:
+            self._keys[place] = None
+
+    def _find(self, sequence: int) -> int | None:
+        place = bisect_left(self._sequences, sequence)
+        found = place < len(self._sequences) and self._sequences[place] == sequence
+        return place if found else None
+
+    def _insert(self, change: Change, key: str) -> None:
+        """The place of a change that is not newer than all others: rare, so that the move of what is behind
+        it is affordable."""
+        place = bisect_left(self._sequences, change.sequence)
+        if place < len(self._sequences) and self._sequences[place] == change.sequence:
+            self._keys[place] = key
+        else:
+            self._sequences.insert(place, change.sequence)
+            self._keys.insert(place, key)
+        if not change.value:
+            self._tombstones = deque(sorted({*self._tombstones, change.sequence}))
+
+    def _tidy(self) -> None:
+        if self.replacing:
+            return
+        holes = len(self._sequences) - self._live
+        if holes > _HOLES_LEAST and holes * 2 > len(self._sequences):
+            self._compact()
+        while self._tombstones_live > self._tombstones_most:
+            self._let_go(self._tombstones.popleft())
+
+    def _let_go(self, sequence: int) -> None:
+        """Drop the oldest tombstone, if its key was not written again since."""
+        place = self._find(sequence)
+        key = None if place is None else self._keys[place]
+        if key is None:
+            return
+        kind, name = _parts(key)
+        change = self.newest(kind, name)
+        if change is not None and not change.value:
+            self._forget(range_of(kind, name), key, change)
+            self.horizon = max(self.horizon, sequence)
+
+    def _compact(self) -> None:
+        kept = [place for place, key in enumerate(self._keys) if key is not None]
+        self._sequences = [self._sequences[place] for place in kept]
+        self._keys = [self._keys[place] for place in kept]
+        self._tombstones = deque(
+            sequence for sequence in self._tombstones if self._find(sequence) is not None
+        )
+
+    # ---- whole ranges ----------------------------------------------------------------------------------
+
+    def replace(
+        self, index: int, upto: Version, changes: list[Change], final: bool, horizon: int = 0
+    ) -> None:
+        """Put in the complete content of one range: keys at versions up to `upto` that are not named are
+        gone, newer ones stay. With `final` the table is at `upto`. `horizon` is that of the table that the
+        range comes from; a key that is not named was deleted there, with a tombstone let go."""
+        self.replacing = True
+        named = {_key(change.kind, change.name) for change in changes}
+        gone = [key for key in self._ranges[index] if key not in named]
+        for key in gone:
+            change = _decode(self._ranges[index][key])
+            if change.version <= upto:
+                self._forget(index, key, change)
+        for change in changes:
+            self._store(change)
+        self.horizon = max(self.horizon, horizon)
+        if final:
+            self._finish(upto)
+
+    def _finish(self, upto: Version) -> None:
+        self.head = max(self.head, upto)
+        self.replacing = False
+        order = sorted(
+            (_decode_place(encoded).sequence, key) for kept in self._ranges for key, encoded in kept.items()
+        )
+        self._sequences = [sequence for sequence, _ in order]
+        self._keys = [key for _, key in order]
+        self._tombstones = deque(sequence for sequence, key in order if not self._decoded(key).value)
+        self._tidy()
+
+    def _decoded(self, key: str) -> Change:
+        kind, name = _parts(key)
+        return _decode(self._ranges[range_of(kind, name)][key])
+
+    # ---- what followers are sent -----------------------------------------------------------------------
+
+    def since(self, sequence: int) -> Iterator[Entry]:
+        """The newest change of each key that changed behind a sequence, in order. Not while `replacing`, nor
+        across a change of the table."""
+        for place in range(bisect_right(self._sequences, sequence), len(self._sequences)):
+            key = self._keys[place]
+            if key is not None:
+                kind, name = _parts(key)
+                yield Entry(self._sequences[place], self._ranges[range_of(kind, name)][key])
+
+    def page(self, after: int, bytes_most: int) -> Page:
+        """What lies behind a sequence, as much as `bytes_most` holds but one change at least."""
+        encoded: list[bytes] = []
+        size = 0
+        for entry in self.since(after):
+            size += len(entry.encoded)
+            if encoded and size > bytes_most:
+                return Page(_decode_place(encoded[-1]).version, encoded)
+            encoded.append(entry.encoded)
+        return Page(self.head, encoded)
+
+    def range(self, index: int) -> list[Change]:
+        """All keys of one range, tombstones among them."""
+        return [_decode(encoded) for encoded in self._ranges[index].values()]
+
+    def encoded_range(self, index: int) -> list[bytes]:
+        """The same, as it goes over the wire."""
+        return list(self._ranges[index].values())
+
+
+def _key(kind: int, name: str) -> str:
+    """One string for a key: kept for each, it takes half of what a tuple would."""
+    return f"{kind}/{name}"
+
+
+def _parts(key: str) -> tuple[int, str]:
+    kind, _, name = key.partition("/")
+    return int(kind), name
--- /dev/null
+++ b/tests/distribution/feed/test_table.py
@@ -0,0 +1,135 @@
+"""A relay's table against a plain model: changes, deletions, replaced ranges and compactions in any order."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from linenbridge.distribution import table as module
+from linenbridge.distribution.changes import (
+    RANGES, START, Change, Kind, Version, digest_of, range_of, sealed,
+)  # fmt: skip
+from linenbridge.distribution.table import Table
+
+REGION = "r1"
+KEYS = [(Kind.TENANT, f"t{n}") for n in range(6)] + [(Kind.INSTANCE, f"shop/i{n}") for n in range(4)]
+steps = some.lists(some.tuples(some.integers(0, len(KEYS) - 1), some.binary(max_size=3)), max_size=60)
+
+
+def changes_of(written: list[tuple[int, bytes]], first: int = 1) -> list[Change]:
+    return [
+        sealed(REGION, Version(1, first + place), *KEYS[key], value)
+        for place, (key, value) in enumerate(written)
+    ]
+
+
+def model_of(changes: list[Change]) -> dict[tuple[int, str], Change]:
+    return {change.key: change for change in changes}
+
+
+def model_digest(rows: dict[tuple[int, str], Change]) -> int:
+    return sum(digest_of(change) for change in rows.values()) % 2**64
+
+
+def sequences(table: Table, after: int = 0) -> list[int]:
+    return [entry.sequence for entry in table.since(after)]
+
+
+@pytest.fixture(autouse=True)
+def compacts_early(monkeypatch):
+    """So that small tables compact too."""
+    monkeypatch.setattr(module, "_HOLES_LEAST", 3)
+
+
+@given(steps, some.integers(0, 60), some.integers(1, 9))
+@settings(max_examples=150, deadline=None)
+def test_holds_the_newest_of_each_key(written, after, batch):
+    changes, table = changes_of(written), Table(REGION)
+    for place in range(0, len(changes), batch):
+        part = changes[place : place + batch]
+        table.apply(part[-1].version, part)
+        table.apply(part[-1].version, part)  # repeats change nothing
+    rows = model_of(changes)
+    assert len(table) == len(rows)
+    assert table.digest == model_digest(rows)
+    assert all(table.newest(*key) == change for key, change in rows.items())
+    assert sequences(table, after) == sorted(c.sequence for c in rows.values() if c.sequence > after)
+    assert table.head == (changes[-1].version if changes else START)
+    for index in {range_of(*key) for key in KEYS}:
+        expected = {key: change for key, change in rows.items() if range_of(*key) == index}
+        assert model_of(table.range(index)) == expected
+        digest = table.range_digests()[index * 8 : index * 8 + 8]
+        assert int.from_bytes(digest, "big") == model_digest(expected)
+
+
+@given(steps, some.integers(0, 4))
+@settings(max_examples=150, deadline=None)
+def test_lets_the_oldest_tombstones_go_and_tells_the_horizon(written, most):
+    changes, table = changes_of(written), Table(REGION, tombstones_most=most)
+    for change in changes:
+        table.apply(change.version, [change])
+    rows = model_of(changes)
+    deleted = sorted(change.sequence for change in rows.values() if not change.value)
+    kept = [sequence for sequence in sequences(table) if sequence in deleted]
+    assert table.tombstones == len(kept) <= most
+    gone = [sequence for sequence in deleted if sequence not in kept]
+    assert all(sequence <= table.horizon for sequence in gone)
+    assert all(sequence > table.horizon for sequence in kept)
+    assert table.digest == model_digest(rows)
+
+
+@given(steps, steps, some.booleans())
+@settings(max_examples=150, deadline=None)
+def test_replaced_ranges_give_the_other_table(older, newer, compacted):
+    """A table that took some of the log and then every range is as the one that they came from."""
+    changes = changes_of(older)
+    changes += changes_of(newer, len(changes) + 1)
+    source, target = Table(REGION, tombstones_most=2 if compacted else 100), Table(REGION)
+    source.apply(changes[-1].version if changes else START, changes)
+    target.apply(changes[len(older) - 1].version if older else START, changes[: len(older)])
+    for index in range(RANGES):
+        whole = source.range(index)
+        target.replace(index, source.head, whole, index == RANGES - 1, source.horizon)
+    assert not target.replacing
+    assert target.head == source.head
+    assert target.digest == source.digest
+    assert target.range_digests() == source.range_digests()
+    assert target.horizon >= source.horizon
+    assert sequences(target) == sequences(source)
+    after = sealed(REGION, Version(2, len(changes) + 1), *KEYS[0], b"after")
+    target.apply(after.version, [after])
+    assert target.newest(*KEYS[0]) == after
+    assert sequences(target, len(changes)) == [after.sequence]
+
+
+def test_a_range_read_later_keeps_newer_versions():
+    table = Table(REGION)
+    old, new = sealed(REGION, Version(1, 3), 2, "t", b"old"), sealed(REGION, Version(1, 9), 2, "t", b"new")
+    table.apply(new.version, [new])
+    table.replace(range_of(2, "t"), Version(1, 5), [old], final=True)
+    assert table.newest(2, "t") == new
+    table.replace(range_of(2, "t"), Version(1, 5), [], final=True)
+    assert table.newest(2, "t") == new, "a key newer than the transfer is not gone because it is not named"
+    table.replace(range_of(2, "t"), Version(1, 9), [], final=True)
+    assert table.newest(2, "t") is None
+
+
+def test_holes_are_bounded():
+    table = Table(REGION)
+    for n in range(1, 500):
+        table.apply(Version(1, n), [sealed(REGION, Version(1, n), 2, f"t{n % 5}", b"v")])
+        assert len(table._sequences) <= 2 * len(table) + 4
+
+
+def test_pages_hold_what_fits_and_reach_the_head():
+    table = Table(REGION)
+    changes = [sealed(REGION, Version(1, n), 2, f"t{n}", b"x" * 100) for n in range(1, 41)]
+    table.apply(Version(2, 45), changes)
+    after, seen = 0, 0
+    while after < 45:
+        page = table.page(after, 500)
+        assert len(page.encoded) == 1 or sum(map(len, page.encoded)) <= 500
+        after, seen = page.upto.sequence, seen + len(page.encoded)
+    assert (page.upto, seen) == (Version(2, 45), 40)
+    assert len(table.page(0, 1).encoded) == 1, "a change larger than the bytes left goes alone"
--- /dev/null
+++ b/tests/distribution/feed/world.py
@@ -0,0 +1,415 @@
+"""A simulated installation: real feeds and followers, simulated time, links that lose what is under way.
+
+Owns the queue of what happens next, the links and the faults. Every message is encoded and decoded on its
+way. The same seed gives the same run. Each region's log is a plain list that its relays take from; gateways
+keep plain dicts. What is right is judged in `checker.py` alone, from the record.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any
+
+import msgspec
+
+from linenbridge.distribution.changes import (
+    START, Change, Kind, Position, Version, added, digest_of, range_of, removed, sealed,
+)  # fmt: skip
+from linenbridge.distribution.decisions import Apply, Dial, Event, HangUp, ReplaceRange, Send, SumsBelow
+from linenbridge.distribution.feed import Feed, FeedSettings
+from linenbridge.distribution.follower import Follower, FollowerSettings
+from linenbridge.distribution.messages import Batch, Digests, Follow, Message, Progress, Refused, Whole
+from linenbridge.distribution.relays import RelayPlace
+
+MS, SECOND = 1_000, 1_000_000
+CONNECT = 3 * MS
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(Message).decode
+
+
+@dataclass(frozen=True)
+class Shape:
+    """Of an installation and of what is published in it."""
+
+    regions: int = 2
+    relays: int = 3  # in each region
+    gateways: int = 6  # in each region
+    keys: int = 60  # of each region
+    changes: int = 40  # published in each region after the start
+    seconds: int = 30
+    delay: int = 5 * MS  # of a link, at most; between regions ten times that
+    feed: FeedSettings = field(default_factory=FeedSettings)
+    follower: FollowerSettings = field(default_factory=FollowerSettings)
+
+
+@dataclass(frozen=True)
+class InForce:
+    """One line of the record: at a gateway, a key has come to a version (None: it is gone)."""
+
+    at: int
+    gateway: str
+    region: str
+    kind: int
+    name: str
+    version: Version | None
+    value: bytes
+
+
+class Tables:
+    """What one gateway has in force: plain dicts by region, written by the rules of the interface's text."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, dict[tuple[int, str], Change]] = defaultdict(dict)
+        self.sums: dict[str, int] = defaultdict(int)
+        self.at: dict[str, Version] = {}
+
+    def put(self, change: Change) -> bool:
+        rows = self.rows[change.region]
+        old = rows.get(change.key)
+        if old is not None and old.version >= change.version:
+            return False
+        if old is not None:
+            self.sums[change.region] = removed(self.sums[change.region], old)
+        rows[change.key] = change
+        self.sums[change.region] = added(self.sums[change.region], change)
+        return True
+
+    def drop(self, region: str, key: tuple[int, str]) -> None:
+        self.sums[region] = removed(self.sums[region], self.rows[region].pop(key))
+
+    def range_digests(self, region: str) -> bytes:
+        sums = [0] * 1024
+        for change in self.rows[region].values():
+            index = range_of(change.kind, change.name)
+            sums[index] = (sums[index] + digest_of(change)) % (1 << 64)
+        return b"".join(each.to_bytes(8, "big") for each in sums)
+
+
+class World:
+    def __init__(self, shape: Shape, seed: int) -> None:
+        self.shape, self.dice, self.now, self._count = shape, Random(f"feed {seed}"), 0, 0
+        self.queue: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.regions = [f"r{n}" for n in range(shape.regions)]
+        self.places = [RelayPlace(f"{r}-relay{n}", r) for r in self.regions for n in range(shape.relays)]
+        self.logs: dict[str, list[Change]] = {region: [] for region in self.regions}
+        self.published_at: dict[tuple[str, int], int] = {}
+        self.feeds: dict[str, Feed] = {}
+        self.followers: dict[str, Follower] = {}  # by gateway, or relay:region
+        self.tables: dict[str, Tables] = {}
+        self.home: dict[str, str] = {place.name: place.region for place in self.places}
+        self.links: dict[tuple[str, str], int] = {}  # (process, relay) -> number of the connection
+        self.wanted: set[tuple[str, str]] = set()
+        self.down: set[str] = set()
+        self.stopped: set[str] = set()
+        self.parted: set[frozenset[str]] = set()
+        self.held: dict[str, list[tuple[Callable[..., None], tuple[Any, ...]]]] = defaultdict(list)
+        self.record: list[InForce] = []
+        self.bytes_to: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self.reports: dict[str, Progress] = {}
+        self.events: list[tuple[int, str, Event]] = []
+        self.spoil: Callable[[str, str, Message], list[Message]] | None = None
+        self._wakes: dict[str, int] = {}
+        for place in self.places:
+            self.start_relay(place.name)
+        for region in self.regions:
+            for n in range(shape.gateways):
+                self.start_gateway(f"{region}-gateway{n}", region)
+
+    # ---- time ------------------------------------------------------------------------------------------
+
+    def at(self, at: int, call: Callable[..., None], *args: Any) -> None:
+        self._count += 1
+        heapq.heappush(self.queue, (at, self._count, call, args))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + int(seconds * SECOND)
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call, args = heapq.heappop(self.queue)
+            call(*args)
+        self.now = end
+
+    # ---- processes -------------------------------------------------------------------------------------
+
+    def start_relay(self, name: str) -> None:
+        """A relay with an empty memory; its own region's log is on its disk."""
+        self.down.discard(name)
+        region = self.home[name]
+        feed = self.feeds[name] = Feed(name, region, self.regions, self.shape.feed, self._random(), self.now)
+        feed.on_publisher(self.now, f"{region}-publisher")
+        for other in self.regions:
+            if other != region:
+                upstream = [place for place in self.places if place.region == other]
+                follower = Follower(
+                    name, other, upstream, [other], [], self._relay_settings(), self._random(), self.now,
+                    feed.range_digests,
+                )  # fmt: skip
+                self.followers[f"{name}:{other}"] = follower
+                self.pump(f"{name}:{other}")
+        self._commit(name)
+        self.pump(name)
+
+    def _relay_settings(self) -> FollowerSettings:
+        return replace(self.shape.follower, rate=0)
+
+    def start_gateway(self, name: str, region: str, kept: bool = False) -> None:
+        self.down.discard(name)
+        self.home[name] = region
+        if not kept or name not in self.tables:
+            self._emptied(name)
+        tables = self.tables[name]
+        positions = [Position(each, at.epoch, at.sequence) for each, at in tables.at.items()]
+        self.followers[name] = Follower(
+            name, region, self.places, self.regions, positions, self.shape.follower, self._random(), self.now,
+            tables.range_digests,
+        )  # fmt: skip
+        self.pump(name)
+
+    def _emptied(self, name: str) -> None:
+        for region, rows in (self.tables[name].rows if name in self.tables else {}).items():
+            for kind, key in rows:
+                self.record.append(InForce(self.now, name, region, kind, key, None, b""))
+        self.tables[name] = Tables()
+
+    def kill(self, name: str) -> None:
+        """A process ends: its links are reset at once."""
+        self.down.add(name)
+        for core in [core for core in self.followers if core.partition(":")[0] == name]:
+            self._wakes.pop(core, None)
+        self._wakes.pop(name, None)
+        self.wanted = {pair for pair in self.wanted if pair[0].partition(":")[0] != name}
+        for pair in [pair for pair in self.links if name in (pair[0].partition(":")[0], pair[1])]:
+            self._cut(pair)
+
+    def stop(self, name: str, seconds: float) -> None:
+        """A process is stopped and goes on later; its links stay."""
+        self.stopped.add(name)
+        self.at(self.now + int(seconds * SECOND), self._go_on, name)
+
+    def _go_on(self, name: str) -> None:
+        self.stopped.discard(name)
+        for call, args in self.held.pop(name, []):
+            call(*args)
+        for core in [name, *(core for core in self.followers if core.partition(":")[0] == name)]:
+            self.pump(core)
+
+    def part(self, one: str, other: str) -> None:
+        """Two regions lose each other."""
+        self.parted.add(frozenset((one, other)))
+        for pair in list(self.links):
+            if self._apart(*pair):
+                self._cut(pair)
+
+    def meet(self) -> None:
+        self.parted.clear()
+
+    def _apart(self, one: str, other: str) -> bool:
+        regions = frozenset((self.home[one.partition(":")[0]], self.home[other.partition(":")[0]]))
+        return regions in self.parted
+
+    def _random(self) -> Random:
+        return Random(self.dice.random())
+
+    # ---- the logs --------------------------------------------------------------------------------------
+
+    def publish(self, region: str, kind: int, name: str, value: bytes, epoch: int = 1) -> Change:
+        log = self.logs[region]
+        change = sealed(region, Version(epoch, len(log) + 1), kind, name, value)
+        log.append(change)
+        self.published_at[region, change.sequence] = self.now
+        for place in self.places:
+            if place.region == region:
+                self.at(self.now + self.dice.randrange(1, 30 * MS), self._commit, place.name)
+        return change
+
+    def publish_some(self, region: str, number: int) -> None:
+        """Changes of random keys, a tenth of them deletions."""
+        for _ in range(number):
+            key = self.dice.randrange(self.shape.keys)
+            kind = (Kind.ROUTES, Kind.TENANT, Kind.INSTANCE)[key % 3]
+            name = f"s{key % 7}/i{key}" if kind == Kind.INSTANCE else f"k{key}"
+            value = b"" if self.dice.random() < 0.1 else self.dice.randbytes(self.dice.randrange(8, 80))
+            self.publish(region, kind, name, value)
+
+    def _commit(self, relay: str) -> None:
+        """What is on the relay's disk of its own region's log goes to its feed, if it runs."""
+        if relay in self.down:
+            return
+        if relay in self.stopped:
+            self.held[relay].append((self._commit, (relay,)))
+            return
+        region, feed = self.home[relay], self.feeds[relay]
+        new = self.logs[region][feed.tables[region].head.sequence :]
+        feed.on_committed(self.now, region, new)
+        self.pump(relay)
+
+    # ---- links -----------------------------------------------------------------------------------------
+
+    def _dial(self, core: str, relay: str) -> None:
+        self.wanted.add((core, relay))
+        self.at(self.now + CONNECT, self._connect, core, relay)
+
+    def _connect(self, core: str, relay: str) -> None:
+        pair, process = (core, relay), core.partition(":")[0]
+        if pair not in self.wanted or pair in self.links:
+            return
+        if process in self.down or relay in self.down or self._apart(core, relay):
+            self.at(self.now + self.dice.randrange(100 * MS, 500 * MS), self._connect, core, relay)
+            return
+        self._count += 1
+        self.links[pair] = self._count
+        self._input(core, self._on_link, core, relay, True)
+
+    def _cut(self, pair: tuple[str, str]) -> None:
+        """The connection is gone, and with it what is under way."""
+        del self.links[pair]
+        core, relay = pair
+        self._input(core, self._on_link, core, relay, False)
+        self._input(relay, self._on_lost, relay, core.partition(":")[0], core)
+        if pair in self.wanted:
+            self.at(self.now + self.dice.randrange(100 * MS, 500 * MS), self._connect, core, relay)
+
+    def cut_some(self) -> None:
+        """A random connection breaks."""
+        if self.links:
+            self._cut(self.dice.choice(sorted(self.links)))
+
+    def _on_link(self, core: str, relay: str, up: bool) -> None:
+        self.followers[core].on_link(self.now, relay, up)
+        self.pump(core)
+
+    def _on_lost(self, relay: str, follower: str, core: str) -> None:
+        self.feeds[relay].on_lost(self.now, follower)
+        self.pump(relay)
+
+    def _input(self, core: str, call: Callable[..., None], *args: Any) -> None:
+        """To a process that is down nothing comes; to one that is stopped it comes later."""
+        process = core.partition(":")[0]
+        if process in self.stopped:
+            self.held[process].append((call, args))
+        elif process not in self.down:
+            call(*args)
+
+    def _send(self, core: str, to: str, message: Any) -> None:
+        """Over the connection between a follower's core and a relay, in order, unless it breaks meanwhile."""
+        data = _encode(message)
+        assert len(data) <= 60_000
+        if to.endswith("-publisher"):
+            self.reports[core] = _decode(data)
+            return
+        pair = (core, to) if core in self.followers else self._pair_to(to, core)
+        if pair is None or pair not in self.links:
+            return
+        if core in self.feeds and core not in self.followers:
+            self.bytes_to[to].append((self.now, len(data)))
+        messages = [_decode(data)]
+        if self.spoil is not None:
+            messages = self.spoil(core, to, messages[0])
+        far = self.home[core.partition(":")[0]] != self.home[to.partition(":")[0]]
+        delay = self.shape.delay * (10 if far else 1)
+        for each in messages:
+            self.at(self.now + delay, self._deliver, pair, self.links[pair], core, to, each)
+
+    def _pair_to(self, follower: str, relay: str) -> tuple[str, str] | None:
+        """The connection over which a relay's feed reaches a follower by its name."""
+        cores = [follower, f"{follower}:{self.home[relay]}"]
+        return next(((core, relay) for core in cores if (core, relay) in self.links), None)
+
+    def _deliver(self, pair: tuple[str, str], number: int, core: str, to: str, message: Any) -> None:
+        if self.links.get(pair) != number:
+            return
+        if pair[1] == core:  # from the relay to the follower
+            self._input(pair[0], self._on_relay_message, pair[0], core, message)
+        else:
+            self._input(to, self._on_follower_message, to, core.partition(":")[0], message)
+
+    def _on_relay_message(self, core: str, relay: str, message: Any) -> None:
+        follower = self.followers[core]
+        if isinstance(message, Batch):
+            follower.on_batch(self.now, relay, message)
+        elif isinstance(message, Whole):
+            follower.on_whole(self.now, relay, message)
+        elif isinstance(message, Refused):
+            follower.on_refused(self.now, relay, message)
+        self.pump(core)
+
+    def _on_follower_message(self, relay: str, follower: str, message: Any) -> None:
+        feed = self.feeds[relay]
+        if isinstance(message, Follow):
+            feed.on_follow(self.now, message)
+        elif isinstance(message, Progress):
+            feed.on_progress(self.now, message)
+        elif isinstance(message, Digests):
+            feed.on_digests(self.now, follower, message)
+        self.pump(relay)
+
+    # ---- cores -----------------------------------------------------------------------------------------
+
+    def pump(self, core_name: str) -> None:
+        core: Any = self.followers.get(core_name) or self.feeds[core_name]
+        process = core_name.partition(":")[0]
+        if process in self.down or process in self.stopped:
+            return
+        while (decision := core.next_decision(self.now)) is not None:
+            self._carry_out(core_name, core, decision)
+        wake = max(core.wake_at(), self.now + 1)
+        if self._wakes.get(core_name) != wake:
+            self._wakes[core_name] = wake
+            self.at(wake, self._wake, core_name, wake)
+
+    def _wake(self, core_name: str, wake: int) -> None:
+        if self._wakes.get(core_name) == wake:
+            self._wakes.pop(core_name)
+            self.pump(core_name)
+
+    def _carry_out(self, core_name: str, core: Any, decision: Any) -> None:
+        if isinstance(decision, Send):
+            self._send(core_name, decision.to, decision.message)
+        elif isinstance(decision, Dial):
+            self._dial(core_name, decision.relay)
+        elif isinstance(decision, HangUp):
+            self.wanted.discard((core_name, decision.relay))
+            if (core_name, decision.relay) in self.links:
+                self._cut((core_name, decision.relay))
+        elif isinstance(decision, Event):
+            self.events.append((self.now, core_name, decision))
+        elif isinstance(decision, SumsBelow):
+            for other in self.regions:
+                if other != self.home[core_name]:
+                    self.followers[f"{core_name}:{other}"].on_progress_below(self.now, decision.summaries)
+                    self.pump(f"{core_name}:{other}")
+        elif ":" in core_name:
+            self._to_feed(core_name, core, decision)
+        else:
+            self._in_force(core_name, core, decision)
+
+    def _to_feed(self, core_name: str, core: Follower, decision: Apply | ReplaceRange) -> None:
+        relay = core_name.partition(":")[0]
+        feed = self.feeds[relay]
+        take = feed.on_apply if isinstance(decision, Apply) else feed.on_range
+        core.on_applied(self.now, decision.region, decision.upto, take(self.now, decision))
+        self.pump(relay)
+
+    def _in_force(self, gateway: str, core: Follower, decision: Apply | ReplaceRange) -> None:
+        tables, region = self.tables[gateway], decision.region
+        if isinstance(decision, ReplaceRange):
+            self._drop_unnamed(gateway, tables, decision)
+        for change in decision.changes:
+            if tables.put(change):
+                self.record.append(
+                    InForce(self.now, gateway, region, change.kind, change.name, change.version, change.value)
+                )
+        if isinstance(decision, Apply) or decision.final:
+            tables.at[region] = max(tables.at.get(region, START), decision.upto)
+        core.on_applied(self.now, region, decision.upto, tables.sums[region])
+
+    def _drop_unnamed(self, gateway: str, tables: Tables, whole: ReplaceRange) -> None:
+        named = {change.key for change in whole.changes}
+        for key, change in list(tables.rows[whole.region].items()):
+            unnamed = key not in named and range_of(*key) == whole.range
+            if unnamed and change.version <= whole.upto:
+                tables.drop(whole.region, key)
+                self.record.append(InForce(self.now, gateway, whole.region, *key, None, b""))
