--- a/linenbridge/distribution/acceptance.py
+++ b/linenbridge/distribution/acceptance.py
@@ -78,6 +78,7 @@
         self.region = region
         self.taken = self.applied = version
         self.digest: int | None = None
+        self.confirmed = False  # a relay has told the digest at `taken`
         self.differs = False  # the host's digest is not the relay's at the same position
         self.behind_horizon = False
         self.transferring_at: int | None = None  # when ranges were asked for or last came
@@ -105,15 +106,18 @@
             return Verdict.GAP
         self.behind_horizon = batch.horizon > self.taken.sequence
         if batch.upto == self.taken and not batch.changes:
-            return Verdict.HEARTBEAT
+            tells = batch.digest is not None and not self.confirmed
+            return Verdict.TAKEN if tells else Verdict.HEARTBEAT
         if batch.upto <= self.taken:
             return Verdict.PASSED_OVER
         return Verdict.PASSED_OVER if self.behind_horizon else Verdict.TAKEN
 
     def take(self, batch: Batch) -> Apply:
-        """What the host is to apply of a batch that was judged to be taken."""
+        """What the host is to apply of a batch that was judged to be taken; nothing but the digest of a
+        heartbeat that is the first to tell it."""
         changes = [change for change in batch.changes if change.version > self.taken]
         self.taken = batch.upto
+        self.confirmed = batch.digest is not None
         if batch.digest is not None:
             self._expect(batch.upto, batch.digest)
         return Apply(self.region, batch.upto, changes, batch.digest, batch.horizon)
@@ -157,7 +161,7 @@
         if whole.final:
             self.taken = whole.upto
             self.transferring_at = None
-            self.differs = self.behind_horizon = False
+            self.confirmed = self.differs = self.behind_horizon = False
         return replace
 
     @property
@@ -170,14 +174,13 @@
 
     # ---- the host --------------------------------------------------------------------------------------
 
-    def on_applied(self, upto: Version, digest: int) -> bool:
-        """The host has a batch or range in force; whether its digest is as the relay said, or nothing was
-        said. A range that is not the last one of its transfer leaves the position where it is."""
+    def on_applied(self, upto: Version, digest: int | None) -> None:
+        """The host has a batch or range in force, and its table's digest is this; None: it cannot be compared
+        now. A range that is not the last one of its transfer leaves the position where it is."""
         if self.taken < upto or upto < self.applied:
-            return True
+            return
         self.applied, self.digest = upto, digest
         expected = self._expected.pop(upto, None)
         self._expected = {version: each for version, each in self._expected.items() if version > upto}
-        if expected is not None:
+        if expected is not None and digest is not None:
             self.differs = expected != digest
-        return not self.differs
--- a/linenbridge/distribution/feed.py
+++ b/linenbridge/distribution/feed.py
@@ -125,15 +125,18 @@
     # ---- changes ---------------------------------------------------------------------------------------
 
     def on_committed(self, now: int, region: str, changes: list[Change]) -> None:
-        """The own region's changes that a majority has, in order."""
+        """The own region's changes that a majority has, in order, up to a state that the log had."""
         if changes:
-            self.tables[region].apply(changes[-1].version, changes)
+            table = self.tables[region]
+            table.apply(changes[-1].version, changes)
+            table.settled = True
             self._moved(now, region)
 
     def on_apply(self, now: int, apply: Apply) -> int:
         """Another region's changes, by the relay's follower; the digest is for `Follower.on_applied`."""
         table = self.tables[apply.region]
         table.apply(apply.upto, apply.changes, apply.horizon)
+        table.settled = apply.digest == table.digest
         self._moved(now, apply.region)
         return table.digest
 
@@ -141,6 +144,7 @@
         """A whole range of another region. Its followers wait until the last one is here."""
         table = self.tables[replace.region]
         table.replace(replace.range, replace.upto, replace.changes, replace.final, replace.horizon)
+        table.settled = False
         if replace.final:
             self._moved(now, replace.region)
         return table.digest
@@ -214,7 +218,7 @@
             return
         session.heard_at = now
         table = self.tables[digests.region]
-        if table.replacing or table.head < digests.at:
+        if table.replacing or not table.settled or table.head < digests.at:
             return  # the follower asks again
         if digests.first or not digests.last or len(digests.digests) not in (0, RANGES * DIGEST_BYTES):
             self.counters.malformed += 1
@@ -336,7 +340,7 @@
         table = self.tables[region]
         page = table.page(after, bytes_most)
         encoded = _joined(page.encoded)
-        digest = table.digest if page.upto == table.head else None
+        digest = table.digest if table.settled and page.upto == table.head else None
         self.counters.encoded += 1
         return _SharedPage(page.upto, Raw(encoded), batch_checksum(region, after, page.upto, encoded), digest)
 
@@ -344,7 +348,7 @@
         """An empty batch at the follower's cursor, with the digest where that is the head."""
         table = self.tables[cursor.region]
         version = cursor.version
-        level = version == table.head and not table.replacing and cursor.transfer is None
+        level = version == table.head and table.settled and cursor.transfer is None
         checksum = batch_checksum(cursor.region, version.sequence, version, bytes(_NO_CHANGES))
         message = EncodedBatch(
             session.number, cursor.region, version.sequence, version, _NO_CHANGES,
--- a/linenbridge/distribution/follower.py
+++ b/linenbridge/distribution/follower.py
@@ -367,8 +367,9 @@
 
     # ---- the host --------------------------------------------------------------------------------------
 
-    def on_applied(self, now: int, region: str, upto: Version, digest: int) -> None:
-        """The host has an `Apply` or `ReplaceRange` in force; `digest` is that of its whole table there."""
+    def on_applied(self, now: int, region: str, upto: Version, digest: int | None) -> None:
+        """The host has an `Apply` or `ReplaceRange` in force; `digest` is that of its whole table there, None
+        where it is not to be compared."""
         if self._unanswered_before:
             self._unanswered_before -= 1
         elif self._unanswered:
@@ -439,8 +440,9 @@
                 self._begin(now)
             return
         if self._deadline is not None and now >= self._deadline:
-            self.counters.silences += 1
-            self._leave(now, "silent" if self.relay in self._links else "no link")
+            linked = self.relay in self._links
+            self.counters.silences += linked
+            self._leave(now, "silent" if linked else "no link")
             return
         self._say_progress(now)
         if self.following:
--- a/linenbridge/distribution/table.py
+++ b/linenbridge/distribution/table.py
@@ -58,13 +58,16 @@
 
 
 class Table:
-    """All keys of one region, at `head` unless `replacing`: then ranges of a newer state are being taken."""
+    """All keys of one region, at `head` unless `replacing`: then ranges of a newer state are being taken.
+    `settled`: it is known to be what the log makes of its keys at `head`. A part of a compacted log leads to
+    a state that never was, since keys that changed again behind it are still missing or older."""
 
     def __init__(self, region: str, tombstones_most: int = TOMBSTONES_MOST) -> None:
         self.region = region
         self.head = START
         self.horizon = 0
         self.replacing = False
+        self.settled = False
         self._tombstones_most = tombstones_most
         self._ranges: list[dict[str, bytes]] = [{} for _ in range(RANGES)]
         self._digests = [0] * RANGES
--- /dev/null
+++ b/tests/distribution/feed/checker.py
@@ -0,0 +1,120 @@
+"""What is right, judged from records alone: no text of the cores is used here.
+
+Owns the rules: a key's version at a gateway only grows; what is in force was published so; a key is gone
+only where its deletion was published; at the end everybody has the newest of each key; bytes stay within the
+budget.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+SECOND = 1_000_000
+SPAN = 10 * SECOND  # the time over which a budget of bytes a second is judged
+LARGEST_MESSAGE = 60_000
+
+
+class Published(NamedTuple):
+    """One change as its author handed it in."""
+
+    region: str
+    sequence: int
+    kind: int
+    name: str
+    value: bytes
+
+
+class Breach(NamedTuple):
+    rule: str
+    where: str
+
+
+Key = tuple[str, int, str]
+
+
+def breaches_of_versions(record: Iterable, published: Iterable[Published]) -> list[Breach]:
+    """Over the whole record: no older version over a newer, nothing that was not published, nothing gone that
+    was not deleted."""
+    written = {(p.region, p.kind, p.name, p.sequence): p.value for p in published}
+    deleted: dict[Key, list[int]] = defaultdict(list)
+    for region, kind, name, sequence in written:
+        if not written[region, kind, name, sequence]:
+            deleted[region, kind, name].append(sequence)
+    newest: dict[str, dict[Key, int]] = defaultdict(dict)
+    found = []
+    for line in record:
+        here = newest[line.gateway]
+        if not line.region:
+            here.clear()
+            continue
+        key, where = (
+            (line.region, line.kind, line.name),
+            f"{line.at} {line.gateway} {line.region}/{line.name}",
+        )
+        if line.version is None:
+            if not any(sequence > here.get(key, 0) for sequence in deleted[key]):
+                found.append(Breach("gone without a deletion", where))
+            continue
+        sequence = line.version.sequence
+        if sequence <= here.get(key, 0):
+            found.append(Breach("older over newer", where))
+        if written.get((*key, sequence)) != line.value:
+            found.append(Breach("not as published", where))
+        here[key] = max(sequence, here.get(key, 0))
+    return found
+
+
+def breaches_at_end(record: Iterable, published: Iterable[Published], gateways: list[str]) -> list[Breach]:
+    """Everybody has the newest of each key, and nothing else."""
+    wanted: dict[Key, bytes] = {}
+    for change in sorted(published, key=lambda change: change.sequence):
+        wanted[change.region, change.kind, change.name] = change.value
+    wanted = {key: value for key, value in wanted.items() if value}
+    held: dict[str, dict[Key, bytes]] = {gateway: {} for gateway in gateways}
+    for line in record:
+        rows = held[line.gateway]
+        if not line.region:
+            rows.clear()
+        elif line.version is None or not line.value:
+            rows.pop((line.region, line.kind, line.name), None)
+        else:
+            rows[line.region, line.kind, line.name] = line.value
+    return [
+        Breach("not the newest of all keys", f"{gateway}: {_difference(held[gateway], wanted)}")
+        for gateway in gateways
+        if held[gateway] != wanted
+    ]
+
+
+def _difference(held: dict[Key, bytes], wanted: dict[Key, bytes]) -> str:
+    keys = sorted(key for key in {*held, *wanted} if held.get(key) != wanted.get(key))
+    return f"{len(keys)} keys, first {keys[0]}"
+
+
+def breaches_of_budget(sent: list[tuple[int, int]], rate: int, who: str) -> list[Breach]:
+    """Messages (time, bytes) to one follower: in any ten seconds no more than ten seconds' bytes, a quarter
+    of a second's, and one message."""
+    allowed = rate * SPAN // SECOND + rate // 4 + LARGEST_MESSAGE
+    if all(size <= rate // 2 for _, size in sent):
+        allowed = rate * SPAN // SECOND + rate
+    times, sums = [time for time, _ in sent], [0]
+    for _, size in sent:
+        sums.append(sums[-1] + size)
+    for place, time in enumerate(times):
+        last = bisect_left(times, time + SPAN)
+        if sums[last] - sums[place] > allowed:
+            return [Breach("more bytes than the budget", f"{who} {time}: {sums[last] - sums[place]}")]
+    return []
+
+
+def latest_in_force(record: Iterable, key: Key, sequence: int, gateways: list[str]) -> int | None:
+    """When the last of the gateways had a key at a sequence or newer; None where one never had."""
+    at: dict[str, int] = {}
+    for line in record:
+        mine = line.version is not None and (line.region, line.kind, line.name) == key
+        if mine and line.version.sequence >= sequence:
+            at.setdefault(line.gateway, line.at)
+    return max(at.values()) if set(gateways) <= set(at) else None
