--- /dev/null
+++ b/linenbridge/distribution/view/refusals.py
@@ -0,0 +1,72 @@
+"""Keys whose newest version was refused: it counts in the digests, while the last good one is in force.
+
+Keeps state without I/O. It must never hold a refused value.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+
+import msgspec
+from msgspec import Struct
+
+from linenbridge.distribution.changes import Change, Version, digest_of, range_of
+from linenbridge.distribution.view.regions import Region
+from linenbridge.distribution.view.results import PageKind, RefusedChange, StoredPage
+
+Key = tuple[str, int, str]  # region, kind, name
+
+
+class Refusal(Struct, array_like=True, frozen=True):
+    """What is kept of a refused change."""
+
+    epoch: int
+    sequence: int
+    digest: int
+    reason: str
+
+
+class Refusals:
+    """By key; each is kept until the key changes again."""
+
+    def __init__(self) -> None:
+        self.records: dict[Key, Refusal] = {}
+        self.changed: set[Key] = set()
+
+    def digest(self, region: Region, kind: int, name: str) -> int | None:
+        """Of the refused version that is the key's newest; None where that was not refused."""
+        record = self.records.get((region.name, kind, name))
+        return None if record is None else record.digest
+
+    def put(self, region: Region, change: Change, reason: str) -> None:
+        key = region.name, change.kind, change.name
+        self.records[key] = Refusal(change.epoch, change.sequence, digest_of(change), reason)
+        self.changed.add(key)
+
+    def remove(self, region: Region, kind: int, name: str) -> None:
+        key = region.name, kind, name
+        if self.records.pop(key, None) is not None:
+            self.changed.add(key)
+
+    def retain(self, region: Region, number: int, keys: Collection[tuple[int, str]]) -> None:
+        """Of a range, keep the region's refusals of these keys only."""
+        for place, kind, name in list(self.records):
+            if place == region.name and range_of(kind, name) == number and (kind, name) not in keys:
+                self.remove(region, kind, name)
+
+    def all(self) -> Iterator[RefusedChange]:
+        """Every key whose newest version is not the one in force."""
+        for (region, kind, name), record in sorted(self.records.items()):
+            version = Version(record.epoch, record.sequence)
+            yield RefusedChange(region, version, kind, name, record.reason)
+
+    def dirty(self) -> Iterator[StoredPage]:
+        changed, self.changed = self.changed, set()
+        for key in sorted(changed):
+            record = self.records.get(key)
+            body = None if record is None else msgspec.msgpack.encode(record)
+            yield StoredPage(PageKind.REFUSED, msgspec.json.encode(key).decode(), 0, body)
+
+    def load(self, page: StoredPage) -> None:
+        key = msgspec.json.decode(page.name, type=Key)
+        self.records[key] = msgspec.msgpack.decode(page.body or b"", type=Refusal)
--- /dev/null
+++ b/linenbridge/distribution/view/routes.py
@@ -0,0 +1,127 @@
+"""Routes of all services: one packed set for each authority, and a bounded cache of those in use.
+
+Keeps state without I/O. A set is changed, kept and dropped as a whole. It must never hold a set that has not
+been checked.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterator
+
+import msgspec
+from msgspec import Struct
+
+from linenbridge.distribution.changes import RANGES, Change, Kind, digest_of, range_of
+from linenbridge.distribution.view.regions import Region, Regions
+from linenbridge.distribution.view.results import PageKind, StoredPage
+from linenbridge.distribution.view.rules import PackedTable
+from linenbridge.distribution.view.tables import first_by_region
+from linenbridge.interface import Method
+
+
+class RouteRecord(Struct, array_like=True, frozen=True):
+    """One region's set of an authority, as `rules.pack_rules` made it."""
+
+    region: int
+    epoch: int
+    sequence: int
+    digest: int
+    packed: bytes
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(list[RouteRecord]).decode
+
+
+class RouteTable:
+    """All sets, and those that are compiled at present."""
+
+    def __init__(
+        self, regions: Regions, methods: dict[str, Method], longest: int, compiled_bytes: int
+    ) -> None:
+        self.regions, self.methods, self.longest = regions, methods, longest
+        self.compiled_bytes = compiled_bytes
+        self.pages: list[dict[str, bytes]] = [{} for _ in range(RANGES)]
+        self.compiled: OrderedDict[str, PackedTable] = OrderedDict()
+        self.costs: dict[str, int] = {}
+        self.cost = 0
+        self.changed: set[str] = set()
+
+    def __len__(self) -> int:
+        return sum(map(len, self.pages))
+
+    # ---- look-ups --------------------------------------------------------------------------------
+
+    def find(self, authority: str) -> PackedTable | None:
+        """The set in force; None where there is none. A set that a request has found stays as it is."""
+        found = self.compiled.get(authority)
+        if found is None:
+            record = first_by_region(self._records(authority), self.regions.by_index)
+            if record is None:
+                return None
+            found = self.compiled[authority] = PackedTable(record.packed, self.methods, self.longest)
+        else:
+            self.compiled.move_to_end(authority)
+        self._bound(authority, found)
+        return found
+
+    def _bound(self, authority: str, table: PackedTable) -> None:
+        """Rules compiled by the last look-up are counted with the next one of the same set."""
+        cost = table.cost()
+        self.cost += cost - self.costs.get(authority, 0)
+        self.costs[authority] = cost
+        while self.cost > self.compiled_bytes and len(self.compiled) > 1:
+            self._drop(next(iter(self.compiled)))
+
+    def _drop(self, authority: str) -> None:
+        if self.compiled.pop(authority, None) is not None:
+            self.cost -= self.costs.pop(authority)
+
+    def _records(self, authority: str) -> dict[int, RouteRecord]:
+        page = self.pages[range_of(Kind.ROUTES, authority)].get(authority)
+        return {} if page is None else {record.region: record for record in _decode(page)}
+
+    # ---- changes ---------------------------------------------------------------------------------
+
+    def digest(self, region: Region, name: str) -> int:
+        record = self._records(name).get(region.index)
+        return 0 if record is None else record.digest
+
+    def put(self, region: Region, change: Change, value: bytes) -> None:
+        records = self._records(change.name)
+        records[region.index] = RouteRecord(
+            region.index, change.epoch, change.sequence, digest_of(change), value
+        )
+        self._keep(change.name, records)
+
+    def remove(self, region: Region, name: str) -> None:
+        records = self._records(name)
+        if records.pop(region.index, None) is not None:
+            self._keep(name, records)
+
+    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
+        for name in [name for name in self.pages[number] if name not in names]:
+            self.remove(region, name)
+
+    def _keep(self, authority: str, records: dict[int, RouteRecord]) -> None:
+        pages = self.pages[range_of(Kind.ROUTES, authority)]
+        if records:
+            pages[authority] = _encode(list(records.values()))
+        else:
+            del pages[authority]
+        self._drop(authority)
+        self.changed.add(authority)
+
+    def end(self) -> None: ...
+
+    # ---- on disk ---------------------------------------------------------------------------------
+
+    def dirty(self) -> Iterator[StoredPage]:
+        changed, self.changed = self.changed, set()
+        for name in sorted(changed):
+            body = self.pages[range_of(Kind.ROUTES, name)].get(name)
+            yield StoredPage(PageKind.ROUTES, name, 0, body)
+
+    def load(self, page: StoredPage) -> None:
+        self.pages[range_of(Kind.ROUTES, page.name)][page.name] = page.body or b""
--- /dev/null
+++ b/linenbridge/distribution/view/rules.py
@@ -0,0 +1,170 @@
+"""Checked rules of one service, packed as data, and the routing table read from them without parsing again.
+
+Decides without I/O. A packed set holds which rules a path's first segment can meet, and each rule by itself,
+so that a look-up in a set that is not unpacked yet reads a few of its rules only. It must never differ from
+`routes.table.Table` for the same text: it finds and explains by the same code.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any
+
+import msgspec
+from msgspec import Raw, Struct
+
+from linenbridge.interface import Method
+from linenbridge.routes import language
+from linenbridge.routes.language import Condition, Not, Part, Place, Question, Rule, Subject, Timed
+from linenbridge.routes.table import Request, Table, compiled
+
+QUESTION, NOT, ALL, ANY = range(4)
+NOWHERE = Place(0, 0)  # Places are for errors; packed rules have none.
+RULE_BYTES = 2_500  # of one compiled rule, measured: see docs/distribution.md
+
+
+class PackedTime(Struct, array_like=True, frozen=True):
+    default: int
+    subject: tuple[str, str] | None
+    unit: str
+
+
+class PackedPart(Struct, array_like=True, frozen=True):
+    subject: tuple[str, str] | None
+    segment: int
+    word: str | None
+
+
+class PackedRule(Struct, array_like=True, frozen=True):
+    """One rule; `when` is a nested list that starts with the number of the condition's form."""
+
+    name: str
+    when: list[Any]
+    method: str
+    tenant: list[PackedPart]
+    key: list[PackedPart]
+    soft: int
+    deadline: PackedTime | None
+    cost: PackedTime | None
+    over: tuple[str, ...]
+
+
+class PackedRules(Struct, array_like=True, frozen=True):
+    """All rules of a set. `everywhere` and `under` are the table's index by first segment."""
+
+    everywhere: list[int]
+    under: dict[str, list[int]]
+    rules: list[Raw]
+
+
+def pack_rules(table: Table) -> bytes:
+    """A checked table as bytes."""
+    rules = [Raw(msgspec.msgpack.encode(_pack_rule(rule))) for rule in table.rules]
+    return zlib.compress(msgspec.msgpack.encode(PackedRules(table.everywhere, table.under, rules)))
+
+
+def _pack_rule(rule: Rule) -> PackedRule:
+    return PackedRule(
+        rule.name, _pack_condition(rule.when), rule.method, [_pack_part(part) for part in rule.tenant],
+        [_pack_part(part) for part in rule.key], rule.soft, _pack_time(rule.deadline),
+        _pack_time(rule.cost), rule.over,
+    )  # fmt: skip
+
+
+def _pack_condition(condition: Condition) -> list[Any]:
+    match condition:
+        case Question(subject, operator, words):
+            return [QUESTION, subject.kind, subject.name, operator, words]
+        case Not(part):
+            return [NOT, _pack_condition(part)]
+        case language.All(parts):
+            return [ALL, *map(_pack_condition, parts)]
+        case language.Any(parts):
+            return [ANY, *map(_pack_condition, parts)]
+    raise AssertionError(condition)
+
+
+def _pack_part(part: Part) -> PackedPart:
+    return PackedPart(_pack_subject(part.subject), part.segment, part.word)
+
+
+def _pack_time(timed: Timed | None) -> PackedTime | None:
+    return None if timed is None else PackedTime(timed.default, _pack_subject(timed.subject), timed.unit)
+
+
+def _pack_subject(subject: Subject | None) -> tuple[str, str] | None:
+    return None if subject is None else (subject.kind, subject.name)
+
+
+def _read_rule(packed: Raw) -> Rule:
+    found = msgspec.msgpack.decode(packed, type=PackedRule)
+    return Rule(
+        name=found.name, place=NOWHERE, when=_read_condition(found.when), method=found.method,
+        tenant=tuple(map(_read_part, found.tenant)), key=tuple(map(_read_part, found.key)),
+        soft=found.soft, deadline=_read_time(found.deadline), cost=_read_time(found.cost), over=found.over,
+    )  # fmt: skip
+
+
+def _read_condition(packed: list[Any]) -> Condition:
+    form, *rest = packed
+    if form == QUESTION:
+        kind, name, operator, words = rest
+        return Question(Subject(kind, name), operator, tuple(words))
+    if form == NOT:
+        return Not(_read_condition(rest[0]))
+    parts = tuple(map(_read_condition, rest))
+    return language.All(parts) if form == ALL else language.Any(parts)
+
+
+def _read_part(packed: PackedPart) -> Part:
+    return Part(_read_subject(packed.subject), packed.segment, packed.word)
+
+
+def _read_time(packed: PackedTime | None) -> Timed | None:
+    return None if packed is None else Timed(packed.default, _read_subject(packed.subject), packed.unit)
+
+
+def _read_subject(packed: tuple[str, str] | None) -> Subject | None:
+    return None if packed is None else Subject(*packed)
+
+
+class _WhenAsked(Sequence):
+    """A list whose items are made when first asked for."""
+
+    def __init__(self, length: int, make: Callable[[int], Any]) -> None:
+        self.items: list[Any] = [None] * length
+        self.make, self.made = make, 0
+
+    def __len__(self) -> int:
+        return len(self.items)
+
+    def __getitem__(self, number: Any) -> Any:
+        item = self.items[number]
+        if item is None:
+            item = self.items[number] = self.make(number)
+            self.made += 1
+        return item
+
+    def __iter__(self) -> Iterator[Any]:
+        return (self[number] for number in range(len(self.items)))
+
+
+class PackedTable(Table):
+    """The routing table of one service, read from a packed set rule by rule as requests need them."""
+
+    def __init__(self, packed: bytes, methods: dict[str, Method], longest: int) -> None:
+        content = zlib.decompress(packed)
+        found = msgspec.msgpack.decode(content, type=PackedRules)
+        self.methods, self.longest = methods, longest
+        self.everywhere, self.under = found.everywhere, found.under
+        self.rules = _WhenAsked(len(found.rules), lambda number: _read_rule(found.rules[number]))
+        self.conditions = _WhenAsked(len(found.rules), self._condition)
+        self.bytes = len(content)
+
+    def _condition(self, number: int) -> Callable[[Request], bool]:
+        return compiled(self.rules[number].when)
+
+    def cost(self) -> int:
+        """Bytes in memory, estimated."""
+        return self.bytes + RULE_BYTES * self.rules.made
--- /dev/null
+++ b/linenbridge/distribution/view/tenants.py
@@ -0,0 +1,151 @@
+"""All tenants' shares, in sorted packed pages: one page for each range of keys, 37 bytes a tenant.
+
+Keeps state without I/O. Names are kept as 128-bit hashes only. A change moves the bytes of one page (12 KB
+where there are 350,000 tenants). It must never count what a tenant asks for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+from hashlib import blake2b
+from struct import Struct as Layout
+
+import msgspec
+
+from linenbridge.distribution.changes import RANGES, Change, Kind, TenantValue, digest_of, range_of
+from linenbridge.distribution.view.regions import Region, Regions
+from linenbridge.distribution.view.results import PageKind, StoredPage
+from linenbridge.distribution.view.tables import first_by_region
+
+HASH_BYTES = 16
+NUMBER_BYTES = 6  # of an epoch and of a sequence
+NUMBER_MOST = 1 << (8 * NUMBER_BYTES)
+ROW = Layout(f">{HASH_BYTES}sd{NUMBER_BYTES}s{NUMBER_BYTES}sB")  # hash, share, epoch, sequence, region
+ROW_BYTES = ROW.size
+
+Page = bytes | bytearray
+
+
+def hash_of(name: str) -> bytes:
+    """What stands for a tenant's name."""
+    return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
+
+
+class TenantTable:
+    """Shares by name. A page that is being changed is held as a bytearray until `end`."""
+
+    def __init__(self, regions: Regions) -> None:
+        self.regions = regions
+        self.pages: list[Page] = [b""] * RANGES
+        self.open: set[int] = set()
+        self.changed: set[int] = set()
+
+    def __len__(self) -> int:
+        return sum(map(len, self.pages)) // ROW_BYTES
+
+    # ---- look-ups --------------------------------------------------------------------------------
+
+    def share(self, name: str) -> float | None:
+        """The share of the load that a tenant may take; None where nothing is said of it."""
+        page = self.pages[range_of(Kind.TENANT, name)]
+        shares: dict[int, float] = {}
+        for at in _rows(page, hash_of(name)):
+            _, share, _, _, region = ROW.unpack_from(page, at)
+            shares[region] = share
+        return first_by_region(shares, self.regions.by_index)
+
+    # ---- changes ---------------------------------------------------------------------------------
+
+    def digest(self, region: Region, name: str) -> int:
+        page = self.pages[range_of(Kind.TENANT, name)]
+        at = _row(page, hash_of(name), region.index)
+        if at is None:
+            return 0
+        _, share, epoch, sequence, _ = ROW.unpack_from(page, at)
+        value = msgspec.msgpack.encode(TenantValue(share))
+        return digest_of(Change(region.name, _number(epoch), _number(sequence), Kind.TENANT, name, value))
+
+    def put(self, region: Region, change: Change, value: TenantValue) -> None:
+        number, hashed = range_of(Kind.TENANT, change.name), hash_of(change.name)
+        page = self._opened(number)
+        at = _row(page, hashed, region.index)
+        if at is None:
+            at = _place(page, hashed)
+            page[at:at] = bytes(ROW_BYTES)
+        epoch, sequence = _packed(change.epoch), _packed(change.sequence)
+        ROW.pack_into(page, at, hashed, value.share, epoch, sequence, region.index)
+
+    def remove(self, region: Region, name: str) -> None:
+        number = range_of(Kind.TENANT, name)
+        at = _row(self.pages[number], hash_of(name), region.index)
+        if at is not None:
+            del self._opened(number)[at : at + ROW_BYTES]
+
+    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
+        page, hashes = self.pages[number], {hash_of(name) for name in names}
+        kept = bytearray()
+        for at in range(0, len(page), ROW_BYTES):
+            row = page[at : at + ROW_BYTES]
+            if row[-1] != region.index or bytes(row[:HASH_BYTES]) in hashes:
+                kept += row
+        if len(kept) < len(page):
+            self._opened(number)[:] = kept
+
+    def _opened(self, number: int) -> bytearray:
+        page = self.pages[number]
+        if not isinstance(page, bytearray):
+            page = self.pages[number] = bytearray(page)
+            self.open.add(number)
+            self.changed.add(number)
+        return page
+
+    def end(self) -> None:
+        for number in self.open:
+            self.pages[number] = bytes(self.pages[number])
+        self.open.clear()
+
+    # ---- on disk ---------------------------------------------------------------------------------
+
+    def dirty(self) -> Iterator[StoredPage]:
+        changed, self.changed = self.changed, set()
+        for number in sorted(changed):
+            yield StoredPage(PageKind.TENANT, "", number, bytes(self.pages[number]) or None)
+
+    def load(self, page: StoredPage) -> None:
+        body = page.body or b""
+        if len(body) % ROW_BYTES:
+            raise ValueError(f"{len(body)} bytes in a page of tenants, {ROW_BYTES} each")
+        self.pages[page.number] = body
+
+
+def _packed(number: int) -> bytes:
+    return number.to_bytes(NUMBER_BYTES, "big")
+
+
+def _number(packed: bytes) -> int:
+    return int.from_bytes(packed, "big")
+
+
+def _place(page: Page, hashed: bytes) -> int:
+    """Where the first row of that hash is, or would be."""
+    low, high = 0, len(page) // ROW_BYTES
+    while low < high:
+        middle = (low + high) // 2
+        at = middle * ROW_BYTES
+        if page[at : at + HASH_BYTES] < hashed:
+            low = middle + 1
+        else:
+            high = middle
+    return low * ROW_BYTES
+
+
+def _rows(page: Page, hashed: bytes) -> Iterator[int]:
+    """Where the rows of that hash are: one for each region that has the tenant."""
+    at = _place(page, hashed)
+    while page[at : at + HASH_BYTES] == hashed:
+        yield at
+        at += ROW_BYTES
+
+
+def _row(page: Page, hashed: bytes, region: int) -> int | None:
+    return next((at for at in _rows(page, hashed) if page[at + ROW_BYTES - 1] == region), None)
--- /dev/null
+++ b/linenbridge/distribution/view/values.py
@@ -0,0 +1,101 @@
+"""Whether a change's value can be read and passes its checks.
+
+Decides without I/O. Publishers ask the same before they accept a change, so that what a gateway refuses is
+rare: a gateway of an earlier release, or a method that its settings do not have.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from math import isfinite
+
+import msgspec
+
+from linenbridge.distribution.changes import (
+    NAME_MOST,
+    VALUE_MOST,
+    InstanceValue,
+    Kind,
+    TenantValue,
+    ZoneValue,
+)
+from linenbridge.distribution.errors import ChangeRefused
+from linenbridge.distribution.view.rules import pack_rules
+from linenbridge.interface import DRAINING, GONE, READY, Method
+from linenbridge.routes.language import RouteError
+from linenbridge.routes.table import FaultsError, table
+
+WORD_MOST = 256  # characters of a zone's, cell's or host's name
+NUMBER_MOST = 1 << 53
+PORT_MOST = 65_535
+
+Value = bytes | TenantValue | InstanceValue | ZoneValue
+
+
+class ValueChecks:
+    """Reads values against the methods of this gateway. `longest` is the longest deadline, in
+    microseconds."""
+
+    def __init__(self, methods: Iterable[Method], longest: int) -> None:
+        self.methods, self.longest = list(methods), longest
+
+    def __call__(self, kind: int, name: str, value: bytes) -> str:
+        """Why a value would be refused; "" where it would not."""
+        try:
+            self.read(kind, name, value)
+        except ChangeRefused as error:
+            return error.what
+        return ""
+
+    def read(self, kind: int, name: str, value: bytes) -> Value:
+        """The value in its table's form, a set of routes packed; else ChangeRefused."""
+        if not 0 < len(name) <= NAME_MOST:
+            raise ChangeRefused(f"a name has 1 to {NAME_MOST} characters", name[:WORD_MOST])
+        if len(value) > VALUE_MOST:
+            raise ChangeRefused(f"{len(value)} bytes, {VALUE_MOST} at most", name)
+        try:
+            match kind:
+                case Kind.ROUTES:
+                    return self._routes(value)
+                case Kind.TENANT:
+                    return _tenant(value)
+                case Kind.INSTANCE:
+                    return _instance(name, value)
+                case Kind.ZONE:
+                    return msgspec.msgpack.decode(value, type=ZoneValue)
+        except (msgspec.MsgspecError, ValueError) as error:
+            raise ChangeRefused(str(error), name) from None
+        raise ChangeRefused(f"no kind of key is numbered {kind}", name)
+
+    def _routes(self, value: bytes) -> bytes:
+        try:
+            return pack_rules(table(value.decode(), self.methods, self.longest))
+        except (FaultsError, RouteError) as error:
+            raise ValueError(str(error)) from None
+
+
+def _tenant(value: bytes) -> TenantValue:
+    found = msgspec.msgpack.decode(value, type=TenantValue)
+    if not 0.0 <= found.share <= 1.0:
+        raise ValueError(f"a share is 0 to 1, not {found.share}")
+    if msgspec.msgpack.encode(found) != value:
+        raise ValueError("a share is written as one 64-bit float")
+    return found
+
+
+def _instance(name: str, value: bytes) -> InstanceValue:
+    service, _, instance = name.partition("/")
+    if not service or not instance:
+        raise ValueError("an instance's name is service/instance")
+    found = msgspec.msgpack.decode(value, type=InstanceValue)
+    if found.state not in (GONE, READY, DRAINING):
+        raise ValueError(f"no state is numbered {found.state}")
+    if not (isfinite(found.size) and found.size > 0.0):
+        raise ValueError(f"a size is above 0, not {found.size}")
+    if not (0 <= found.build < NUMBER_MOST and 0 <= found.started < NUMBER_MOST):
+        raise ValueError("build and start are whole numbers from 0")
+    if max(len(found.zone), len(found.cell), len(found.host)) > WORD_MOST or not found.host:
+        raise ValueError(f"zone, cell and host have {WORD_MOST} characters at most, and there is a host")
+    if not 0 < found.port <= PORT_MOST:
+        raise ValueError(f"no port is numbered {found.port}")
+    return found
--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -99,7 +99,7 @@
         self.rules = rules
         self.methods = {method.name: method for method in methods}
         self.longest = longest
-        self.conditions = [_compiled(rule.when) for rule in rules]
+        self.conditions = [compiled(rule.when) for rule in rules]
         self.everywhere: list[int] = []
         self.under: dict[str, list[int]] = {}
         self._sort_in()
@@ -128,8 +128,7 @@
         steps = []
         for number, rule in enumerate(self.rules):
             answers = tuple(
-                (str(test), request.value(test.subject), _compiled(test)(request))
-                for test in tests(rule.when)
+                (str(test), request.value(test.subject), compiled(test)(request)) for test in tests(rule.when)
             )
             took = self.conditions[number](request)
             steps.append(Step(rule.name, took, answers))
@@ -166,16 +165,17 @@
 # ---- conditions and values as functions --------------------------------------------------------------
 
 
-def _compiled(condition: Condition) -> Callable[[Request], bool]:
+def compiled(condition: Condition) -> Callable[[Request], bool]:
+    """The condition as one function of a request."""
     match condition:
         case Not(part):
-            inner = _compiled(part)
+            inner = compiled(part)
             return lambda request: not inner(request)
         case All(parts):
-            every = [_compiled(part) for part in parts]
+            every = [compiled(part) for part in parts]
             return lambda request: all(part(request) for part in every)
         case Any(parts):
-            some = [_compiled(part) for part in parts]
+            some = [compiled(part) for part in parts]
             return lambda request: any(part(request) for part in some)
         case Question():
             return _question(condition)
--- /dev/null
+++ b/tests/distribution/view/test_model.py
@@ -0,0 +1,109 @@
+"""Any changes in any order, with repeats, ranges and restarts, give what a plain model gives."""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from linenbridge.distribution.changes import Kind, Version
+from linenbridge.distribution.decisions import Apply
+from tests.distribution.view.helpers import check_equal, new_view, reloaded
+from tests.distribution.view.model import (
+    Model, change, instance_value, range_number, range_of_changes, route_text, tenant_value, zone_value,
+)  # fmt: skip
+
+REGIONS = ("ap", "eu")
+NAMES = {
+    Kind.ROUTES: {"shop", "pay"},
+    Kind.TENANT: {"t1", "t2", "t3"},
+    Kind.INSTANCE: {f"{service}/i{number}" for service in ("shop", "pay") for number in range(4)},
+    Kind.ZONE: {"z1", "z2"},
+    9: {"unknown"},
+}
+BAD = {b"\xc1", b"route one {"}
+VALUES = {
+    Kind.ROUTES: [route_text("look"), route_text("charge", "/b"), b"route one {"],
+    Kind.TENANT: [tenant_value(0.5), tenant_value(0.125), b"\xc1"],
+    Kind.INSTANCE: [instance_value(), instance_value(2, "z2"), instance_value(3, state=2), b"\xc1"],
+    Kind.ZONE: [zone_value(), zone_value(False), b"\xc1"],
+    9: [b"\xc1"],
+}
+KEYS = sorted((kind, name) for kind, names in NAMES.items() for name in names)
+RANGES_USED = sorted({range_number(kind, name) for kind, name in KEYS})
+
+
+def good(kind: int, name: str, value: bytes) -> bool:
+    return value not in BAD
+
+
+@st.composite
+def drafts(draw):
+    """A key and its new value; sometimes it is deleted."""
+    kind, name = draw(st.sampled_from(KEYS))
+    return kind, name, draw(st.sampled_from([b"", *VALUES[kind]]))
+
+
+class ViewsAgree(RuleBasedStateMachine):
+    """A publisher's content and its followers: a view with restarts, and the model."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.view, self.model, self.pages = new_view(), Model(good), {}
+        self.heads = dict.fromkeys(REGIONS, Version(1, 0))
+        self.content = {region: {} for region in REGIONS}
+        self.history: list[Apply] = []
+
+    def publish(self, region: str, drafted: list) -> list:
+        """The drafts as changes; of each key the newest alone, as relays send them."""
+        made = {}
+        for kind, name, value in drafted:
+            head = self.heads[region] = Version(self.heads[region].epoch, self.heads[region].sequence + 1)
+            made[kind, name] = change(kind, name, value, head.sequence, region, head.epoch)
+        self.content[region].update(made)
+        return list(made.values())
+
+    @rule(region=st.sampled_from(REGIONS), drafted=st.lists(drafts(), max_size=6), random=st.randoms())
+    def apply(self, region, drafted, random) -> None:
+        changes = self.publish(region, drafted)
+        random.shuffle(changes)
+        sent = Apply(region, self.heads[region], changes)
+        self.history.append(sent)
+        self.view.apply(sent)
+        self.model.apply(sent)
+
+    @rule(number=st.integers(0, 99))
+    def repeat_an_earlier_batch(self, number) -> None:
+        if self.history:
+            before = self.view.dirty()
+            for page in before:
+                self.pages[page[:3]] = page
+            applied = self.view.apply(self.history[number % len(self.history)])
+            assert applied.taken == 0 and not applied.refused and not self.view.dirty()
+
+    @rule(region=st.sampled_from(REGIONS))
+    def next_epoch(self, region) -> None:
+        self.heads[region] = Version(self.heads[region].epoch + 1, self.heads[region].sequence)
+
+    @rule(region=st.sampled_from(REGIONS), drafted=st.lists(drafts(), max_size=6))
+    def replace_all_that_is_held(self, region, drafted) -> None:
+        self.publish(region, drafted)
+        held = [one for one in self.content[region].values() if one.value]
+        head = self.heads[region]
+        for number in RANGES_USED:
+            self.view.replace(range_of_changes(region, held, number, head, final=number == RANGES_USED[-1]))
+        self.model.become(region, held, head)
+
+    @rule()
+    def restart(self) -> None:
+        self.view = reloaded(self.view, self.pages)
+
+    @invariant()
+    def equal(self) -> None:
+        if hasattr(self, "view"):
+            check_equal(self.view, self.model, NAMES)
+
+
+ViewsAgree.TestCase.settings = settings(
+    max_examples=40, stateful_step_count=12, deadline=None, suppress_health_check=list(HealthCheck)
+)
+TestViewsAgree = ViewsAgree.TestCase
