--- a/linenbridge/distribution/view/regions.py
+++ b/linenbridge/distribution/view/regions.py
@@ -57,7 +57,7 @@
         self.changed = True
 
     def raise_floor(self, number: int, upto: Version) -> None:
-        """The range is complete at `upto`, whatever the position is."""
+        """The range is complete at `upto`, even where that is beyond the position."""
         if upto > self.position:
             self.floors[number] = upto
             self.changed = True
--- a/linenbridge/distribution/view/routes.py
+++ b/linenbridge/distribution/view/routes.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterator
+from functools import partial
 
 import msgspec
 from msgspec import Struct
@@ -15,7 +16,7 @@
 from linenbridge.distribution.changes import RANGES, Change, Kind, digest_of, range_of
 from linenbridge.distribution.view.regions import Region, Regions
 from linenbridge.distribution.view.results import PageKind, StoredPage
-from linenbridge.distribution.view.rules import PackedTable
+from linenbridge.distribution.view.rules import RULE_BYTES, PackedTable
 from linenbridge.distribution.view.tables import first_by_region
 from linenbridge.interface import Method
 
@@ -44,8 +45,7 @@
         self.compiled_bytes = compiled_bytes
         self.pages: list[dict[str, bytes]] = [{} for _ in range(RANGES)]
         self.compiled: OrderedDict[str, PackedTable] = OrderedDict()
-        self.costs: dict[str, int] = {}
-        self.cost = 0
+        self.cost = 0  # of all compiled ones
         self.changed: set[str] = set()
 
     def __len__(self) -> int:
@@ -56,27 +56,28 @@
     def find(self, authority: str) -> PackedTable | None:
         """The set in force; None where there is none. A set that a request has found stays as it is."""
         found = self.compiled.get(authority)
-        if found is None:
-            record = first_by_region(self._records(authority), self.regions.by_index)
-            if record is None:
-                return None
-            found = self.compiled[authority] = PackedTable(record.packed, self.methods, self.longest)
-        else:
+        if found is not None:
             self.compiled.move_to_end(authority)
-        self._bound(authority, found)
-        return found
-
-    def _bound(self, authority: str, table: PackedTable) -> None:
-        """Rules compiled by the last look-up are counted with the next one of the same set."""
-        cost = table.cost()
-        self.cost += cost - self.costs.get(authority, 0)
-        self.costs[authority] = cost
+            return found
+        record = first_by_region(self._records(authority), self.regions.by_index)
+        if record is None:
+            return None
+        grew = partial(self._grew, authority)
+        found = self.compiled[authority] = PackedTable(record.packed, self.methods, self.longest, grew)
+        self.cost += found.cost
         while self.cost > self.compiled_bytes and len(self.compiled) > 1:
             self._drop(next(iter(self.compiled)))
+        return found
+
+    def _grew(self, authority: str, table: PackedTable) -> None:
+        """A rule was compiled; the bound is held to when the next set is."""
+        if self.compiled.get(authority) is table:
+            self.cost += RULE_BYTES
 
     def _drop(self, authority: str) -> None:
-        if self.compiled.pop(authority, None) is not None:
-            self.cost -= self.costs.pop(authority)
+        table = self.compiled.pop(authority, None)
+        if table is not None:
+            self.cost -= table.cost
 
     def _records(self, authority: str) -> dict[int, RouteRecord]:
         page = self.pages[range_of(Kind.ROUTES, authority)].get(authority)
--- a/linenbridge/distribution/view/rules.py
+++ b/linenbridge/distribution/view/rules.py
@@ -134,7 +134,7 @@
 
     def __init__(self, length: int, make: Callable[[int], Any]) -> None:
         self.items: list[Any] = [None] * length
-        self.make, self.made = make, 0
+        self.make = make
 
     def __len__(self) -> int:
         return len(self.items)
@@ -143,7 +143,6 @@
         item = self.items[number]
         if item is None:
             item = self.items[number] = self.make(number)
-            self.made += 1
         return item
 
     def __iter__(self) -> Iterator[Any]:
@@ -151,20 +150,27 @@
 
 
 class PackedTable(Table):
-    """The routing table of one service, read from a packed set rule by rule as requests need them."""
+    """The routing table of one service, read from a packed set rule by rule as requests need them. `grew` is
+    told with each rule read; `cost` is what the table takes in memory by then, estimated in bytes."""
 
-    def __init__(self, packed: bytes, methods: dict[str, Method], longest: int) -> None:
+    def __init__(
+        self, packed: bytes, methods: dict[str, Method], longest: int,
+        grew: Callable[[PackedTable], None] | None = None,
+    ) -> None:  # fmt: skip
         content = zlib.decompress(packed)
         found = msgspec.msgpack.decode(content, type=PackedRules)
         self.methods, self.longest = methods, longest
         self.everywhere, self.under = found.everywhere, found.under
-        self.rules = _WhenAsked(len(found.rules), lambda number: _read_rule(found.rules[number]))
+        self.packed_rules, self.grew = found.rules, grew
+        self.rules = _WhenAsked(len(found.rules), self._rule)
         self.conditions = _WhenAsked(len(found.rules), self._condition)
-        self.bytes = len(content)
+        self.cost = len(content)
+
+    def _rule(self, number: int) -> Rule:
+        self.cost += RULE_BYTES
+        if self.grew is not None:
+            self.grew(self)
+        return _read_rule(self.packed_rules[number])
 
     def _condition(self, number: int) -> Callable[[Request], bool]:
         return compiled(self.rules[number].when)
-
-    def cost(self) -> int:
-        """Bytes in memory, estimated."""
-        return self.bytes + RULE_BYTES * self.rules.made
--- a/linenbridge/distribution/view/tenants.py
+++ b/linenbridge/distribution/view/tenants.py
@@ -1,7 +1,8 @@
-"""All tenants' shares, in sorted packed pages: one page for each range of keys, 37 bytes a tenant.
+"""All tenants' shares, in sorted packed pages: one page for each range of keys, 28 bytes a tenant.
 
-Keeps state without I/O. Names are kept as 128-bit hashes only. A change moves the bytes of one page (12 KB
-where there are 350,000 tenants). It must never count what a tenant asks for.
+Keeps state without I/O. Names are kept as hashes only: 80 bits, and the range tells 10 more, so that 350,000
+names are all different but for one chance in 10**16. A change moves the bytes of one page (10 KB where there
+are 350,000 tenants). It must never count what a tenant asks for.
 """
 
 from __future__ import annotations
@@ -17,10 +18,11 @@
 from linenbridge.distribution.view.results import PageKind, StoredPage
 from linenbridge.distribution.view.tables import first_by_region
 
-HASH_BYTES = 16
-NUMBER_BYTES = 6  # of an epoch and of a sequence
-NUMBER_MOST = 1 << (8 * NUMBER_BYTES)
-ROW = Layout(f">{HASH_BYTES}sd{NUMBER_BYTES}s{NUMBER_BYTES}sB")  # hash, share, epoch, sequence, region
+HASH_BYTES = 10
+EPOCH_MOST = 1 << 32
+SEQUENCE_BYTES = 5
+SEQUENCE_MOST = 1 << (8 * SEQUENCE_BYTES)
+ROW = Layout(f">{HASH_BYTES}sdI{SEQUENCE_BYTES}sB")  # hash, share, epoch, sequence, region
 ROW_BYTES = ROW.size
 
 Page = bytes | bytearray
@@ -63,7 +65,8 @@
             return 0
         _, share, epoch, sequence, _ = ROW.unpack_from(page, at)
         value = msgspec.msgpack.encode(TenantValue(share))
-        return digest_of(Change(region.name, _number(epoch), _number(sequence), Kind.TENANT, name, value))
+        version = epoch, int.from_bytes(sequence, "big")
+        return digest_of(Change(region.name, *version, Kind.TENANT, name, value))
 
     def put(self, region: Region, change: Change, value: TenantValue) -> None:
         number, hashed = range_of(Kind.TENANT, change.name), hash_of(change.name)
@@ -72,8 +75,8 @@
         if at is None:
             at = _place(page, hashed)
             page[at:at] = bytes(ROW_BYTES)
-        epoch, sequence = _packed(change.epoch), _packed(change.sequence)
-        ROW.pack_into(page, at, hashed, value.share, epoch, sequence, region.index)
+        sequence = change.sequence.to_bytes(SEQUENCE_BYTES, "big")
+        ROW.pack_into(page, at, hashed, value.share, change.epoch, sequence, region.index)
 
     def remove(self, region: Region, name: str) -> None:
         number = range_of(Kind.TENANT, name)
@@ -118,14 +121,6 @@
         self.pages[page.number] = body
 
 
-def _packed(number: int) -> bytes:
-    return number.to_bytes(NUMBER_BYTES, "big")
-
-
-def _number(packed: bytes) -> int:
-    return int.from_bytes(packed, "big")
-
-
 def _place(page: Page, hashed: bytes) -> int:
     """Where the first row of that hash is, or would be."""
     low, high = 0, len(page) // ROW_BYTES
--- a/linenbridge/distribution/view/view.py
+++ b/linenbridge/distribution/view/view.py
@@ -10,6 +10,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Iterable, Iterator
+from struct import pack
 
 from linenbridge.distribution.changes import (
     RANGES, Change, InstanceValue, Kind, Position, digest_of, range_of,
@@ -30,7 +31,7 @@
 from linenbridge.distribution.view.routes import RouteTable
 from linenbridge.distribution.view.rules import PackedTable
 from linenbridge.distribution.view.tables import RecordTable
-from linenbridge.distribution.view.tenants import NUMBER_MOST, TenantTable
+from linenbridge.distribution.view.tenants import EPOCH_MOST, SEQUENCE_MOST, TenantTable
 from linenbridge.distribution.view.values import Value, ValueChecks
 from linenbridge.distribution.view.zones import ZoneTable
 from linenbridge.interface import GONE, ListEntry, Method
@@ -129,9 +130,9 @@
         """Of the region's whole table, as `Applied.digest`."""
         return self.regions.get(region).digest()
 
-    def range_digests(self, region: str) -> list[int]:
-        """Of each range of a region's keys."""
-        return list(self.regions.get(region).digests)
+    def range_digests(self, region: str) -> bytes:
+        """Of each range of a region's keys, 8 bytes each, as relays compare them."""
+        return pack(f">{RANGES}Q", *self.regions.get(region).digests)
 
     def refused(self) -> list[RefusedChange]:
         """Keys whose newest version is not the one in force."""
@@ -149,8 +150,8 @@
     def _read(self, change: Change) -> Examined:
         if not change.value:
             return None
-        if not (0 <= change.epoch < NUMBER_MOST and 0 <= change.sequence < NUMBER_MOST):
-            return ChangeRefused(f"an epoch and a sequence are below {NUMBER_MOST}", change.name)
+        if not (0 <= change.epoch < EPOCH_MOST and 0 <= change.sequence < SEQUENCE_MOST):
+            return ChangeRefused(f"epoch below {EPOCH_MOST}, sequence below {SEQUENCE_MOST}", change.name)
         try:
             return self.checks.read(change.kind, change.name, change.value)
         except ChangeRefused as error:
@@ -218,8 +219,9 @@
         tally.count(change)
 
     def replace(self, content: ReplaceRange) -> Applied:
-        """A range of a region's keys, whole: keys that it does not name are gone. Passed over where it is
-        older than what the range holds."""
+        """A range of a region's keys, whole: keys that it does not name are gone. It may have been read later
+        than at `upto` and then names newer versions: it holds all up to the newest that it names. Passed over
+        where it is older than what the range holds."""
         region, tally = self.regions.get(content.region), _Tally()
         older = content.upto < max(region.position, region.floors.get(content.range, region.position))
         if older or not 0 <= content.range < RANGES:
@@ -247,13 +249,12 @@
             else:
                 self._put(region, change, self._examined(change), tally)
         region.add(content.range, total - region.digests[content.range])
-        region.raise_floor(content.range, content.upto)
+        region.raise_floor(content.range, max([content.upto, *(change.version for change in changes)]))
 
     @staticmethod
     def _belongs(region: Region, content: ReplaceRange, change: Change) -> bool:
         return (
             change.region == region.name
-            and change.version <= content.upto
             and bool(change.value)
             and range_of(change.kind, change.name) == content.range
         )
--- a/tests/distribution/view/test_model.py
+++ b/tests/distribution/view/test_model.py
@@ -93,6 +93,23 @@
             self.view.replace(range_of_changes(region, held, number, head, final=number == RANGES_USED[-1]))
         self.model.become(region, held, head)
 
+    @rule(region=st.sampled_from(REGIONS), drafted=st.lists(drafts(), min_size=1, max_size=6))
+    def replace_while_more_is_published(self, region, drafted) -> None:
+        """Each range is read later than the transfer began; the batch behind it brings what is missing."""
+        begun, later = self.heads[region], []
+        for number in RANGES_USED:
+            if drafted:
+                later += self.publish(region, [drafted.pop()])
+            held = list(self.content[region].values())
+            final = number == RANGES_USED[-1]
+            self.view.replace(range_of_changes(region, held, number, begun, final=final))
+        newest = {one.key: one for one in later}
+        sent = Apply(region, self.heads[region], list(newest.values()))
+        self.history.append(sent)
+        self.view.apply(sent)
+        held = [one for one in self.content[region].values() if one.value]
+        self.model.become(region, held, self.heads[region])
+
     @rule()
     def restart(self) -> None:
         self.view = reloaded(self.view, self.pages)
