--- a/linenbridge/fleet/hosting/witness.py
+++ b/linenbridge/fleet/hosting/witness.py
@@ -1,4 +1,4 @@
-"""A process that is a member of the fleet and serves no RPCs: a witness.
+"""A process that is a member of the fleet and serves no RPCs.
 
 Owns its start and end. It must never import what serves RPCs.
 """
@@ -8,15 +8,15 @@
 import secrets
 import sys
 
-from linenbridge.fleet.hosting.member import Member
+from linenbridge.configuration.read import Configuration, ConfigurationError, read
 from linenbridge.fleet.configuration import FleetTold, fleet
+from linenbridge.fleet.hosting.member import Member
 from linenbridge.logging.log import structured
-from linenbridge.configuration.read import Configuration, ConfigurationError, read
 from linenbridge.process import lifetime
 
 
 def run(configuration: Configuration, told: FleetTold) -> int:
-    """One process until its end; the exit code."""
+    """One process from start to end; returns the exit code."""
     log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
     member = Member(told, reactor, log, secrets.randbits(60))
@@ -37,7 +37,7 @@
 
 
 def again(path: str, member: Member, log) -> None:  # noqa: ANN001
-    """The settings read anew: taken up whole, or not at all."""
+    """Read the settings anew. They are taken up as a whole, or not at all if anything is wrong."""
     try:
         told = fleet(read(path))
         if told is None or told.member != member.told.member:
@@ -46,4 +46,4 @@
         log.event("fleet.refused", error=str(error))
         return
     member.take_up(told)
-    log.event("fleet.reloaded", generation=told.council.generation)
+    log.event("fleet.reloaded", generation=told.quorum.generation)
--- a/tests/fleet/procs/installation.py
+++ b/tests/fleet/procs/installation.py
@@ -32,12 +32,12 @@
 
 
 class Installation:
-    """`members` in order; the first `seats` sit on the council."""
+    """`members` in order; the first `acceptors` sit on the quorum."""
 
     def __init__(
-        self, folder: Path, members: list[str], seats: int = 3, rates: dict[str, float] | None = None
+        self, folder: Path, members: list[str], acceptors: int = 3, rates: dict[str, float] | None = None
     ):
-        self.folder, self.members, self.seats = folder, members, members[:seats]
+        self.folder, self.members, self.acceptors = folder, members, members[:acceptors]
         self.rates = rates or {}
         self.ports = dict(zip(members, free_ports(len(members)), strict=True))
         self.links, self.resource = StandinLinks(), StandinResource()
@@ -45,14 +45,16 @@
         self.stopped: set[str] = set()
         self.woken: list[tuple[float, str]] = []
         self.saved: dict[str, Path] = {}
-        self.starts: dict[str, int] = {}
+        self.log_starts: dict[
+            str, int
+        ] = {}  # by member, where in its log the present process begins, in bytes
 
     async def open(self) -> None:
         await self.resource.open()
         for member in self.members:
-            for seat in self.seats:
-                if seat != member:
-                    await self.links.open(member, seat, self.ports[seat])
+            for acceptor in self.acceptors:
+                if acceptor != member:
+                    await self.links.open(member, acceptor, self.ports[acceptor])
             self.write(member)
 
     def write(self, member: str) -> None:
@@ -60,12 +62,12 @@
             f'<member name="{other}" address="127.0.0.1:{self.links.ports.get((member, other), 9)}"/>'
             for other in self.members if other != member
         )  # fmt: skip
-        seats = "".join(f'<seat name="{seat}"/>' for seat in self.seats)
+        acceptors = "".join(f'<seat name="{acceptor}"/>' for acceptor in self.acceptors)
         (self.folder / f"{member}.xml").write_text(
             f'<linenbridge xmlns="urn:linenbridge:premises:1">\n<fleet member="{member}" '
             f'listen="127.0.0.1:{self.ports[member]}" store="{member}.db" lease="{int(LEASE * 1000)}ms" '
             f'longest="{int(LEASE * 1000)}ms" beat="{int(BEAT * 1000)}ms">{others}\n'
-            f'<council>{seats}</council>\n<task name="sweep" act="127.0.0.1:{self.resource.port}" '
+            f'<council>{acceptors}</council>\n<task name="sweep" act="127.0.0.1:{self.resource.port}" '
             f'every="30ms"/>\n</fleet></linenbridge>'
         )
 
@@ -73,8 +75,8 @@
         environ = {**os.environ, "LB_TEST_RATE": str(self.rates.get(member, 1.0))}
         environ.pop("LB_CONFIG", None)
         words = [sys.executable, "-m", "tests.fleet.procs.run_member", "serve", "--settings"]
-        self.starts[member] = self.starts.get(member, 0) + 1
         with open(self.folder / f"{member}.log", "ab") as log:
+            self.log_starts[member] = log.tell()
             self.running[member] = subprocess.Popen(
                 [*words, str(self.folder / f"{member}.xml")], cwd=ROOT, stderr=log, env=environ
             )
@@ -115,20 +117,24 @@
         self.saved[member] = folder
 
     async def up(self, wait: float = 60.0) -> None:
-        """Until every process that was started has said so: how long a busy machine takes to load a program
-        is none of what is promised."""
+        """Until every process that runs has said so: how long a busy machine takes to load a program is none
+        of what is promised. One that was killed before it said so is not waited for."""
         end = time.monotonic() + wait
         for member in self.running:
-            log = self.folder / f"{member}.log"
-            while log.read_text().count('"member.started"') < self.starts[member]:
+            while not self.said(member, "member.started"):
                 if time.monotonic() > end:
                     raise TimeoutError(f"{member} did not start within {wait:.0f} s")
                 await asyncio.sleep(0.05)
 
-    async def returned(self, seat: str, wait: float) -> bool:
-        """Whether a seat says within that time that it grants again, after its last start."""
-        end, log = time.monotonic() + wait, self.folder / f"{seat}.log"
-        while (text := log.read_text()).rfind('"seat.returned"') < text.rfind('"member.started"'):
+    def said(self, member: str, event: str) -> bool:
+        """Whether the member's present process has logged the event; earlier ones do not count."""
+        log = (self.folder / f"{member}.log").read_bytes()
+        return f'"{event}"'.encode() in log[self.log_starts[member] :]
+
+    async def returned(self, acceptor: str, wait: float) -> bool:
+        """Whether an acceptor says within that time that it grants again, after its last start."""
+        end = time.monotonic() + wait
+        while not self.said(acceptor, "seat.returned"):
             if time.monotonic() > end:
                 return False
             await asyncio.sleep(0.05)
