--- a/tests/scale/measure/discovery.py
+++ b/tests/scale/measure/discovery.py
@@ -11,7 +11,7 @@
 from linenbridge.net.discovery import Discovery, Endpoint, Listing
 
 from tests.scale.measure.costs import processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "discovery"
 MEASURED_BY = "tests.scale.measure.discovery"
@@ -59,4 +59,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/gateway.py
+++ b/tests/scale/measure/gateway.py
@@ -14,7 +14,7 @@
 from tests.net import loopback
 from tests.net.loopback import Running
 from tests.scale.measure import COMPILED
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: process"
 MEASURED_BY = "tests.scale.measure.gateway"
@@ -96,4 +96,4 @@
 
 if __name__ == "__main__":
     loopback.ROOT = Path(__file__).parents[3]
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/instances.py
+++ b/tests/scale/measure/instances.py
@@ -7,7 +7,7 @@
 from linenbridge.state.fleet import Fleet
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: instance view"
 MEASURED_BY = "tests.scale.measure.instances"
@@ -78,4 +78,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/leases.py
+++ b/tests/scale/measure/leases.py
@@ -1,8 +1,8 @@
 """A seat of the lease quorum by the number of members: calls a second, processor time, memory.
 
 The cores are the real ones under the simulated network of `tests/fleet/sim/world.py`, without its faults;
-every member takes part in one task. The processor time is that of the seat's core alone: neither the link
-nor the store's disk writes are in it.
+every member takes part in one task and a tenth of them restart in the end. The processor time is that of the
+cores alone: neither the link nor the store's disk writes are in it.
 """
 
 from __future__ import annotations
@@ -10,47 +10,69 @@
 import gc
 import sys
 import time
+from collections import Counter
 from types import BuiltinFunctionType, FunctionType, MethodType, ModuleType
+from typing import NamedTuple
 
 import msgspec
 
-from linenbridge.fleet.leases import seat as seat_module
-from linenbridge.fleet.leases.seat import Seat
-from linenbridge.fleet.leases.words import Round, Said
+from linenbridge.fleet.leases import acceptor as acceptor_module
+from linenbridge.fleet.leases.acceptor import Acceptor
+from linenbridge.fleet.leases.messages import LeaseReply, LeaseRequest
 
 from tests.fleet.sim.world import Fleet, SECOND, Shape
 from tests.scale.measure.costs import text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
-ROLE = "lease quorum: a seat"
+ROLE, MEMBER = "lease quorum: a seat", "gateway: membership in leases"
 MEASURED_BY = "tests.scale.measure.leases"
 SIZES = (32, 320, 3_200)
-SEATS, SECONDS, SEED = 5, 20, 38
-LATER_HALF = SECONDS // 2 * SECOND  # what comes before is the rush of the start
+ACCEPTORS, SEED = 5, 38
+STEADY_FROM, RESTART_AT, SECONDS = 7, 11, 16  # simulated seconds; what comes first is the rush of the start
+RESTARTED = 0.1  # a tenth of the members, at the same time
 SHARED = (type, ModuleType, FunctionType, BuiltinFunctionType, MethodType)
 
 
 class Counted(Fleet):
-    """A fleet that counts, in the later half of its time, what one seat hears and what that costs."""
+    """A fleet that counts what one acceptor hears and says and what that costs it, and the same of a member,
+    in a steady time; then a tenth of the members restart."""
 
     def __init__(self, shape: Shape, seed: int) -> None:
-        self.rounds, self.nanoseconds, self.bytes_in, self.bytes_out = 0, 0, 0, 0
+        self.calls_in = Counter[int]()  # by simulated second
+        self.bytes_in = self.bytes_out = self.nanoseconds = self.member_nanoseconds = 0
         super().__init__(shape, seed)
+        self.seat, self.member = self.acceptors[0], self.names[-1]
+        for name in self.names[ACCEPTORS : ACCEPTORS + round(RESTARTED * len(self.names))]:
+            self._at(RESTART_AT * SECOND, ("up", name))
 
-    def _deliver(self, name: str, to: str, word: object) -> None:
-        if name != self.seats[0] or not isinstance(word, Round) or self.now < LATER_HALF:
-            super()._deliver(name, to, word)
+    @property
+    def steady(self) -> bool:
+        return STEADY_FROM * SECOND <= self.now < RESTART_AT * SECOND
+
+    def _deliver(self, name: str, to: str, message: object) -> None:
+        started = time.process_time_ns()
+        super()._deliver(name, to, message)
+        spent = time.process_time_ns() - started
+        if name == self.seat and isinstance(message, LeaseRequest):
+            self.calls_in[self.now // SECOND] += 1
+            if self.steady:
+                self.nanoseconds += spent
+                self.bytes_in += len(msgspec.msgpack.encode(message))
+        elif name == self.member and self.steady:
+            self.member_nanoseconds += spent
+
+    def _pump(self, core_name: str) -> None:
+        if core_name != self.names[-1] or not self.steady:
+            super()._pump(core_name)
             return
         started = time.process_time_ns()
-        super()._deliver(name, to, word)
-        self.nanoseconds += time.process_time_ns() - started
-        self.rounds += 1
-        self.bytes_in += len(msgspec.msgpack.encode(word))
+        super()._pump(core_name)
+        self.member_nanoseconds += time.process_time_ns() - started
 
-    def _say(self, sender: str, to: str, word: object) -> None:
-        if sender == self.seats[0] and isinstance(word, Said) and self.now >= LATER_HALF:
-            self.bytes_out += len(msgspec.msgpack.encode(word))
-        super()._say(sender, to, word)
+    def _say(self, sender: str, to: str, message: object) -> None:
+        if sender == self.acceptors[0] and isinstance(message, LeaseReply) and self.steady:
+            self.bytes_out += len(msgspec.msgpack.encode(message))
+        super()._say(sender, to, message)
 
 
 def deep_bytes(made: object) -> int:
@@ -66,43 +88,64 @@
     return total
 
 
-def seat_costs(members: int) -> dict[str, float]:
-    """Of one seat: calls in a second, microseconds a second, bytes in and out a second, bytes held."""
-    shape = Shape(gateways=members, seats=SEATS, tasks=1, seconds=SECONDS, faults=0, apart=0.0)
+def costs(members: int) -> dict[str, float]:
+    """Of one acceptor and of one member, by the names of WHATS."""
+    shape = Shape(gateways=members, acceptors=ACCEPTORS, tasks=1, seconds=SECONDS, faults=0, apart=0.0)
     fleet = Counted(shape, SEED)
     fleet.play()
-    counted = SECONDS - SECONDS // 2
-    seat = fleet.cores[f"seat {fleet.seats[0]}"]
-    assert isinstance(seat, Seat)
+    counted = RESTART_AT - STEADY_FROM
+    acceptor = fleet.cores[f"acceptor {fleet.seat}"]
+    assert isinstance(acceptor, Acceptor)
     return {
-        "calls": fleet.rounds / counted,
+        "calls": sum(fleet.calls_in[second] for second in range(STEADY_FROM, RESTART_AT)) / counted,
+        "burst": max(fleet.calls_in[second] for second in range(RESTART_AT, SECONDS)),
         "time": fleet.nanoseconds / 1000 / counted,
         "in": fleet.bytes_in / counted,
         "out": fleet.bytes_out / counted,
-        "held": deep_bytes((seat.guards, seat.queues, seat.heard)),
+        "held": deep_bytes((acceptor.guards, acceptor.queues, acceptor.heard)),
+        "member": fleet.member_nanoseconds / 1000 / counted,
     }
 
 
-FORMS = {"time": "quadratic"}  # queues of those that wait grow with the members
 NOTE = "simulated time and network, one task that all members stand for"
+
+
+class What(NamedTuple):
+    """One cost's place in the file of slopes."""
+
+    role: str
+    what: str
+    unit: str
+    form: str = "linear"
+
+
 WHATS = {
-    "calls": ("calls in", "a second"),
-    "time": ("processor time of the core", "us a second"),
-    "in": ("bytes in", "bytes a second"),
-    "out": ("bytes out", "bytes a second"),
-    "held": ("memory of the core", "bytes"),
+    "calls": What(ROLE, "calls in", "a second"),
+    "burst": What(ROLE, "calls in when a tenth of the members restart", "in the busiest second"),
+    # The queues of those that wait for the task grow with the members.
+    "time": What(ROLE, "processor time of the core", "us a second", "quadratic"),
+    "in": What(ROLE, "bytes in", "bytes a second"),
+    "out": What(ROLE, "bytes out", "bytes a second"),
+    "held": What(ROLE, "memory of the core", "bytes"),
+    "member": What(MEMBER, "processor time of the core", "us a second", "constant"),
 }
 
 
 def rows() -> list[Slope]:
-    costs = [(members, seat_costs(members)) for members in SIZES]
-    common = dict(role=ROLE, size="members", measured_by=MEASURED_BY, text=text_of(seat_module))
+    found = [(members, costs(members)) for members in SIZES]
+    common = dict(size="members", measured_by=MEASURED_BY, text=text_of(acceptor_module), note=NOTE)
     return [
-        slope(FORMS.get(name, "linear"), [(n, cost[name]) for n, cost in costs],
-              what=what, unit=unit, note=NOTE, **common)
-        for name, (what, unit) in WHATS.items()
-    ]  # fmt: skip
+        slope(
+            what.form,
+            [(members, cost[name]) for members, cost in found],
+            role=what.role,
+            what=what.what,
+            unit=what.unit,
+            **common,
+        )
+        for name, what in WHATS.items()
+    ]
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/module.py
+++ b/tests/scale/measure/module.py
@@ -10,7 +10,7 @@
 from tests.helpers import pull, startup
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
 from tests.scale.measure.instances import listed
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: module"
 MEASURED_BY = "tests.scale.measure.module"
@@ -72,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/peers.py
+++ b/tests/scale/measure/peers.py
@@ -7,7 +7,7 @@
 from linenbridge.state.peers import Heard, pack
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: release decisions"
 MEASURED_BY = "tests.scale.measure.peers"
@@ -57,4 +57,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/processor.py
+++ b/tests/scale/measure/processor.py
@@ -14,7 +14,7 @@
 from tests.helpers import MS, entry
 from tests.peer_script import Bench, PeerScript
 from tests.scale.measure.costs import text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: external processor"
 MEASURED_BY = "tests.scale.measure.processor"
@@ -77,4 +77,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/releases.py
+++ b/tests/scale/measure/releases.py
@@ -8,7 +8,7 @@
 
 from tests.helpers import entry, startup
 from tests.scale.measure.costs import processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: release decisions"
 MEASURED_BY = "tests.scale.measure.releases"
@@ -53,4 +53,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/routes.py
+++ b/tests/scale/measure/routes.py
@@ -10,7 +10,7 @@
 from linenbridge.routes.table import Request, Table, table
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: routes"
 MEASURED_BY = "tests.scale.measure.routes"
@@ -79,4 +79,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/tenants.py
+++ b/tests/scale/measure/tenants.py
@@ -6,7 +6,7 @@
 from linenbridge.state.counters import Parts
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: tenants"
 MEASURED_BY = "tests.scale.measure.tenants"
@@ -48,4 +48,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- /dev/null
+++ b/tests/scale/measure/view.py
@@ -0,0 +1,251 @@
+"""The view of `linenbridge/distribution/view` beside the tables of today: changes, look-ups, memory, restart.
+
+Every size counts the keys of one kind, spread over the services as the stated size has them. Route sets are
+checked once and put in under every service's name, as all have the same rules; a change that is timed is
+checked as any other.
+"""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from linenbridge.distribution.changes import (
+    Change,
+    InstanceValue,
+    Kind,
+    TenantValue,
+    Version,
+    ZoneValue,
+    digest_of,
+    sealed,
+)
+from linenbridge.distribution.decisions import Apply
+from linenbridge.distribution.view import view as view_module
+from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
+from linenbridge.distribution.view.view import View
+from linenbridge.interface import DRAINING, READY
+from linenbridge.routes.table import Request
+
+from tests.scale.measure.costs import held_bytes, processor_time, text_of
+from tests.scale.measure.routes import LONGEST, METHODS, RULES_A_SERVICE, VERBS, text
+from tests.scale.slopes import Slope, record, slope
+
+MEASURED_BY = "tests.scale.measure.view"
+REGION = "one"
+ROUTES, TENANTS, INSTANCES = "gateway: routes", "gateway: tenants", "gateway: instance view"
+ROUTE_SIZES = (2_300, 23_000, 230_000)
+TENANT_SIZES = (3_500, 35_000, 350_000)
+INSTANCE_SIZES = (2_000, 20_000, 200_000)
+ALL_SIZES = (2_000, 20_000, 200_000)  # instances, with routes and tenants in proportion
+INSTANCES_A_SERVICE, ROUTES_AN_INSTANCE, TENANTS_AN_INSTANCE, ZONES = 22, 1.15, 1.75, 19
+BATCH = 256
+MADE_SHARE = 0.5
+RULES = text(RULES_A_SERVICE).encode()
+
+
+class Author:
+    """Seals changes with rising versions."""
+
+    def __init__(self) -> None:
+        self.sequence = 0
+
+    def seal(self, kind: Kind, name: str, value: bytes) -> Change:
+        self.sequence += 1
+        return sealed(REGION, Version(1, self.sequence), kind, name, value)
+
+
+def service(number: int) -> str:
+    return f"service-{number:04d}.internal"
+
+
+def instance_value(number: int, state: int = READY) -> bytes:
+    value = InstanceValue(
+        363, f"zone-{number % ZONES}", str(number % 400), state, 1.0, 1_700_000_000_000 + number,
+        f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 8080,
+    )  # fmt: skip
+    return msgspec.msgpack.encode(value)
+
+
+def instance_key(number: int) -> str:
+    return f"{service(number // INSTANCES_A_SERVICE)}/i-{number:06d}"
+
+
+def route_changes(author: Author, count: int) -> Iterator[Change]:
+    for number in range(max(1, round(count / RULES_A_SERVICE))):
+        yield author.seal(Kind.ROUTES, service(number), RULES)
+
+
+def tenant_changes(author: Author, count: int) -> Iterator[Change]:
+    value = msgspec.msgpack.encode(TenantValue(MADE_SHARE))
+    for number in range(count):
+        yield author.seal(Kind.TENANT, f"tenant-{number:07d}", value)
+
+
+def instance_changes(author: Author, count: int) -> Iterator[Change]:
+    for number in range(count):
+        yield author.seal(Kind.INSTANCE, instance_key(number), instance_value(number))
+
+
+def all_changes(author: Author, count: int) -> Iterator[Change]:
+    yield from route_changes(author, round(count * ROUTES_AN_INSTANCE))
+    yield from tenant_changes(author, round(count * TENANTS_AN_INSTANCE))
+    yield from instance_changes(author, count)
+
+
+def new_view() -> View:
+    return View(METHODS, LONGEST)
+
+
+def apply(view: View, changes: list[Change]) -> None:
+    view.apply(Apply(REGION, changes[-1].version, changes))
+
+
+def filled(changes: Iterator[Change]) -> View:
+    """A view that has taken the changes, in batches as a relay hands them on."""
+    view = new_view()
+    packed = view.checks.read(Kind.ROUTES, service(0), RULES)
+    batch: list[Change] = []
+    for change in changes:
+        batch.append(change)
+        if change.kind == Kind.ROUTES:
+            view.ahead[digest_of(change)] = packed
+        if len(batch) == BATCH:
+            apply(view, batch)
+            batch = []
+    if batch:
+        apply(view, batch)
+    return view
+
+
+def change_time(view: View, author: Author, kind: Kind, name: str, values: list[bytes]) -> float:
+    """Microseconds for one change of a key, its check included; sealing it is not counted."""
+    calls, repeats = 20, 5
+    changes = iter([author.seal(kind, name, values[n % len(values)]) for n in range(calls * repeats)])
+    return processor_time(lambda: apply(view, [next(changes)]), calls, repeats)
+
+
+def route_look_up(view: View, number: int) -> Callable[[], None]:
+    resource = RULES_A_SERVICE // 2
+    path, verb = f"/v1/resource-{resource:02d}/7", VERBS[resource % 2]
+    authority = service(number)
+
+    def look_up() -> None:
+        found = view.routes(authority)
+        assert found is not None
+        # The sets are all of the first service's rules, which ask for its authority.
+        assert found.find(Request(service(0), path, verb)) is not None
+
+    return look_up
+
+
+def route_costs(count: int) -> dict[str, float]:
+    author = Author()
+    view = filled(route_changes(author, count))
+    services = round(count / RULES_A_SERVICE)
+    middle = service(services // 2)
+    other = RULES.replace(b"soft 200ms", b"soft 300ms")
+    costs = {"one change": change_time(view, author, Kind.ROUTES, middle, [other, RULES])}
+    in_use = route_look_up(view, services // 2)
+    in_use()
+    costs["one look-up"] = processor_time(in_use, 1_000)
+    firsts = iter([route_look_up(view, number) for number in range(services - 1)])
+    costs["first look-up of a set"] = processor_time(lambda: next(firsts)(), 15)
+    costs["memory of the table"] = held_bytes(lambda: filled(route_changes(Author(), count)))
+    return costs
+
+
+def tenant_costs(count: int) -> dict[str, float]:
+    author = Author()
+    view = filled(tenant_changes(author, count))
+    name = f"tenant-{count // 2:07d}"
+    values = [msgspec.msgpack.encode(TenantValue(share)) for share in (0.25, 0.75)]
+    return {
+        "one change": change_time(view, author, Kind.TENANT, name, values),
+        "one look-up": processor_time(lambda: view.tenant(name), 1_000),
+        "memory of tenants": held_bytes(lambda: filled(tenant_changes(Author(), count))),
+    }
+
+
+def instance_costs(count: int) -> dict[str, float]:
+    author = Author()
+    view = filled(instance_changes(author, count))
+    number = count // 2
+    values = [instance_value(number, state) for state in (DRAINING, READY)]
+    lost = [msgspec.msgpack.encode(ZoneValue(said)) for said in (True, False)]
+    of_service = service(number // INSTANCES_A_SERVICE)
+    return {
+        "one change": change_time(view, author, Kind.INSTANCE, instance_key(number), values),
+        "a zone lost": change_time(view, author, Kind.ZONE, "zone-1", lost),
+        "a service's list": processor_time(lambda: view.instances(of_service), 100),
+        "memory of the view": held_bytes(lambda: filled(instance_changes(Author(), count))),
+    }
+
+
+def restart_time(count: int) -> float:
+    """Microseconds of processor time until a restarted gateway has its last good version of all tables."""
+    with tempfile.TemporaryDirectory() as folder:
+        path, methods = str(Path(folder) / "view.db"), fingerprint(method.name for method in METHODS)
+        store = ViewStore(path, methods, lambda *_, **__: None)
+        store.open()
+        if not store.write(filled(all_changes(Author(), count)).dirty()):
+            raise RuntimeError(f"the store could not be written: {store.error}")
+        store.close()
+
+        def restart() -> None:
+            again = ViewStore(path, methods, lambda *_, **__: None)
+            view = restored(again, new_view)
+            assert view.positions()
+            again.close()
+
+        return processor_time(restart, 1, 3)
+
+
+FORMS = {"memory of the table": "linear", "memory of tenants": "linear", "memory of the view": "linear"}
+
+
+def _slopes(
+    role: str, size: str, sizes: tuple[int, ...], measure: Callable[[int], dict[str, float]]
+) -> list[Slope]:
+    found = [(count, measure(count)) for count in sizes]
+    return [
+        slope(
+            FORMS.get(what, "constant"),
+            [(count, costs[what]) for count, costs in found],
+            role=role,
+            what=what,
+            size=size,
+            unit="bytes" if what in FORMS else "us",
+            measured_by=MEASURED_BY,
+            text=text_of(view_module),
+            state="after",
+        )
+        for what in found[0][1]
+    ]
+
+
+def rows() -> list[Slope]:
+    return [
+        *_slopes(ROUTES, "routes", ROUTE_SIZES, route_costs),
+        *_slopes(TENANTS, "tenants", TENANT_SIZES, tenant_costs),
+        *_slopes(INSTANCES, "instances", INSTANCE_SIZES, instance_costs),
+        slope(
+            "linear",
+            [(count, restart_time(count)) for count in ALL_SIZES],
+            role="gateway: process",
+            what="all tables from the store after a restart",
+            size="instances",
+            unit="us",
+            measured_by=MEASURED_BY,
+            text=text_of(view_module),
+            state="after",
+            note="with routes and tenants in proportion",
+        ),
+    ]
+
+
+if __name__ == "__main__":
+    record(rows())
--- a/tests/scale/slopes.py
+++ b/tests/scale/slopes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import argparse
 from pathlib import Path
 
 import msgspec
@@ -13,14 +14,16 @@
 
 from tests.scale.fits import Fit, fitted
 
+STATES = ("before", "now", "after")
 SLOPES = Path(__file__).parents[2] / "docs" / "capacity" / "slopes.json"
 
 
 class Slope(Struct, frozen=True, kw_only=True):
     """One cost at several sizes.
 
-    `size` names what a size counts, `unit` is the unit of the cost. `state` is `now` for what runs today and
-    `after` for what is to replace it. `text` says whether the measured modules were compiled.
+    `size` names what a size counts, `unit` is the unit of the cost. `state` is `now` for what `run` uses,
+    `before` for what it used before a change, and `after` for tables that are off in `run`. `text` says
+    whether the measured modules were compiled.
     """
 
     role: str
@@ -71,3 +74,18 @@
     path.write_bytes(msgspec.json.format(msgspec.json.encode(ordered), indent=1) + b"\n")
     for row in rows:
         print(row.line)
+
+
+def record(rows: list[Slope]) -> None:
+    """The end of each measuring program: its rows go to the file of slopes, or where the command line says.
+
+    `--state before` marks rows of an earlier text, measured in a checkout of it; `--slopes FILE` is another
+    file.
+    """
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--state", choices=STATES)
+    parser.add_argument("--slopes", type=Path, default=SLOPES)
+    said = parser.parse_args()
+    if said.state is not None:
+        rows = [msgspec.structs.replace(row, state=said.state) for row in rows]
+    merge(rows, said.slopes)
