--- a/tests/scale/page/control.py
+++ b/tests/scale/page/control.py
@@ -30,12 +30,18 @@
     together = f"{size.gateways_restarting:,.0f} gateways restart together"
     return [
         Row(
-            role=SEAT, what="calls in", unit="1/s", mechanism="`fleet/leases/seat.py`",
+            role=SEAT, what="calls in", unit="1/s", mechanism="`fleet/leases/acceptor.py`",
             ordinary=costs.at(role, "calls in", members),
+            burst=costs.at(role, "calls in when a tenth of the members restart", members),
+            burst_is=together,
+        ),
+        Row(
+            role=SEAT, what="entries: members that wait or hold, of one task", unit="number",
+            mechanism="`fleet/leases/guards.py`, `queues.py`", ordinary=Figure(members),
         ),
         Row(
             role=SEAT, what="processor time of the core; link and disk not counted", unit="core",
-            mechanism="`fleet/leases/seat.py`",
+            mechanism="`fleet/leases/acceptor.py`",
             ordinary=costs.scaled(role, "processor time of the core", members, MICROSECOND),
             budget=size.budget.core_share_a_machine,
         ),
@@ -53,8 +59,9 @@
             ordinary=costs.at(role, "memory of the core", members),
         ),
         Row(
-            role=SEAT, what="calls in when gateways restart together", unit="1/s",
-            mechanism="`fleet/leases/seat.py`", ordinary=None, burst_is=together,
+            role=SEAT, what="processor time of the link, and of the store's disk writes", unit="core",
+            mechanism="`fleet/hosting/links.py`, `fleet/store/`", ordinary=None,
+            budget=size.budget.core_share_a_machine,
         ),
     ]  # fmt: skip
 
@@ -69,6 +76,11 @@
             burst=Figure(size.instances_a_zone * size.fleet.gateways / size.configuration.in_force_s),
             burst_is="a zone within the time to be in force, one by one",
         ),
+        Row(
+            role=DISTRIBUTOR, what="entries: routes' sets, tenants, instances", unit="number",
+            mechanism=NO_MECHANISM,
+            ordinary=Figure(size.fleet.services + size.configuration.tenants + size.fleet.instances),
+        ),
         Row(
             role=DISTRIBUTOR, what="a change in force everywhere", unit="s", mechanism=NO_MECHANISM,
             ordinary=None, budget=size.configuration.in_force_s,
--- a/tests/scale/page/figures.py
+++ b/tests/scale/page/figures.py
@@ -8,6 +8,7 @@
 
 from enum import IntEnum
 from math import exp, log
+from typing import TypedDict
 
 from msgspec import Struct
 
@@ -47,7 +48,8 @@
 class Row(Struct, frozen=True, kw_only=True):
     """One quantity of one role: on an ordinary second, at a burst, its budget, and the mechanism.
 
-    A figure that is None has not been measured. `after` is the ordinary figure with the new tables.
+    A figure that is None has not been measured. `before` is the figure of the text before a change to what
+    `run` uses, `after` that of the tables which are off in `run`; each stands beside the larger of the two.
     """
 
     role: str
@@ -58,15 +60,20 @@
     burst: Figure | None = None
     burst_is: str = ""
     budget: float | None = None
+    before: Figure | None = None
     after: Figure | None = None
 
+    @property
+    def largest(self) -> Figure | None:
+        """The larger of the two figures; None where neither was measured."""
+        found = [figure for figure in (self.ordinary, self.burst) if figure is not None]
+        return max(found, key=lambda figure: figure.value, default=None)
+
     @property
     def factor(self) -> float | None:
         """The largest figure over its budget; None without a figure or a budget."""
-        found = [figure.value for figure in (self.ordinary, self.burst) if figure is not None]
-        if not found or not self.budget:
-            return None
-        return max(found) / self.budget
+        largest = self.largest
+        return None if largest is None or not self.budget else largest.value / self.budget
 
     @property
     def known(self) -> str:
@@ -75,6 +82,13 @@
         return KNOWN_WORDS[max(found)] if found else "**not measured**"
 
 
+class Versions(TypedDict):
+    """The figures beside a row's own, by the names of Row."""
+
+    before: Figure | None
+    after: Figure | None
+
+
 class Costs:
     """The measured costs, looked up by role and what they measure."""
 
@@ -91,6 +105,13 @@
         found = self.at(role, what, size, state)
         return None if found is None else found * factor
 
+    def versions(self, role: str, what: str, size: float, factor: float = 1.0) -> Versions:
+        """The same cost of the text before a change, and of the tables that are off in `run`."""
+        return Versions(
+            before=self.scaled(role, what, size, factor, "before"),
+            after=self.scaled(role, what, size, factor, "after"),
+        )
+
 
 def cost_at(slope: Slope, size: float) -> Figure:
     """A measured point as it is, a size between two points on the line between them in logarithms, and a
--- a/tests/scale/page/gateway.py
+++ b/tests/scale/page/gateway.py
@@ -14,6 +14,8 @@
 MEMBER = "a gateway's membership in leases"
 ROLES = (RESP2, PROCESSOR, RELEASES, INSTANCES, ROUTES, MEMBER)
 
+MESSAGES_A_REQUEST = 2  # of the proxy to the external processor
+RESTART_MOST = 1.0  # seconds until a restarted gateway is to serve its last good version
 LINE_PART = 16  # a line of discovery may be a sixteenth of the memory limit (process/parts.py)
 RULES_MOST = 512  # rules of one file today (routes/language.py)
 PEERS_TOLD, METHODS, BUILDS = 8, 3, 2  # choice/telling.py
@@ -41,10 +43,15 @@
             ordinary=costs.scaled("gateway: process", "idle", all_instances, MICROSECOND),
             budget=size.budget.core_share,
         ),
+        Row(
+            role=RESP2, what="requests in, and as many sent on and answered", unit="1/s",
+            mechanism="`net/clients.py`, `net/instances.py`", ordinary=Figure(size.requests_a_gateway),
+        ),
         Row(
             role=RESP2, what="resident memory, every instance in its list", unit="bytes",
             mechanism="one list and one module for a process",
             ordinary=costs.at("gateway: process", "resident memory", all_instances), budget=size.memory,
+            **costs.versions("gateway: process", "resident memory", all_instances),
         ),
         Row(
             role=RESP2, what="resident memory, one service's instances in its list", unit="bytes",
@@ -60,6 +67,7 @@
             role=RESP2, what="an RPC in the module, every instance in one list", unit="s",
             mechanism="`choice/choosing.py`: the nearest, in this gateway's order",
             ordinary=costs.scaled("gateway: module", "one RPC", all_instances, MICROSECOND), budget=added,
+            **costs.versions("gateway: module", "one RPC", all_instances, MICROSECOND),
         ),
         Row(
             role=RESP2, what="added to a request, 99 in 100", unit="s", mechanism="the whole of the gateway",
@@ -76,6 +84,11 @@
             mechanism="`processor/front.py`, interpreted", ordinary=front,
             budget=size.load.added_p99_ms / 1000,
         ),
+        Row(
+            role=PROCESSOR, what="messages in, and as many out", unit="1/s",
+            mechanism="two a request: its head, and its answer's head",
+            ordinary=Figure(MESSAGES_A_REQUEST * size.requests_a_gateway),
+        ),
         Row(
             role=PROCESSOR, what="processor time of all requests", unit="core",
             mechanism="one process on one core; requests have no budget of their own",
@@ -109,12 +122,19 @@
             ordinary=costs.scaled(role, "one outcome weighed", on_trial, outcomes_a_second * MICROSECOND),
             budget=size.budget.core_share,
         ),
+        Row(
+            role=RELEASES, what="entries of peers' counts", unit="number",
+            mechanism="`state/peers.py`: by peer, life, build and method",
+            ordinary=Figure(size.fleet.gateways * BUILDS * METHODS), burst=Figure(lives * BUILDS * METHODS),
+            burst_is=f"after {release.peer_lives_kept_days:g} days of restarts",
+        ),
         Row(
             role=RELEASES, what="memory of peers' counts", unit="bytes",
             mechanism="`state/peers.py`: by peer, life, build and method, never let go",
             ordinary=costs.at(role, "memory of peers' counts", size.fleet.gateways),
             burst=costs.at(role, "memory of peers' counts", lives),
             burst_is=f"after {release.peer_lives_kept_days:g} days of restarts", budget=size.memory,
+            **costs.versions(role, "memory of peers' counts", lives),
         ),
         Row(
             role=RELEASES, what="peers' counts sent", unit="bytes/s",
@@ -137,26 +157,37 @@
     one = costs.scaled("gateway: process", "one change told", count, MICROSECOND)
     view, listed = costs.at(role, "memory of the view", count), costs.at(role, "memory of the list", count)
     whole = costs.at("discovery", "bytes of a whole list", count)
-    after_one = costs.scaled(role, "one change", count, rate * MICROSECOND, "after")
     zone = size.instances_a_zone
     return [
+        Row(
+            role=INSTANCES, what="entries", unit="number",
+            mechanism="`state/fleet.py`: every instance listed",
+            ordinary=Figure(count),
+        ),
+        Row(
+            role=INSTANCES, what="changes heard", unit="1/s", mechanism="`net/discovery.py`",
+            ordinary=Figure(rate), burst=Figure(zone / size.configuration.in_force_s),
+            burst_is="a zone within the time to be in force",
+        ),
         Row(
             role=INSTANCES, what="processor time of changes, in the view alone", unit="core",
             mechanism="`state/fleet.py`: a change sorts all anew",
             ordinary=costs.scaled(role, "one change", count, rate * MICROSECOND),
-            budget=size.budget.core_share, after=after_one,
+            budget=size.budget.core_share, **costs.versions(role, "one change", count, rate * MICROSECOND),
         ),
         Row(
             role=INSTANCES, what="processor time of changes, in the whole process", unit="core",
             mechanism="`net/discovery.py`, `net/instances.py`, the module",
             ordinary=None if one is None else one * rate, budget=size.budget.core_share,
+            **costs.versions("gateway: process", "one change told", count, rate * MICROSECOND),
         ),
         Row(
             role=INSTANCES, what="a lost zone worked off, told one by one", unit="s",
             mechanism="a line of the watch for each change",
             ordinary=one, burst=None if one is None else one * zone,
             burst_is=f"a zone: {zone:,.0f} instances", budget=size.configuration.in_force_s,
-            after=costs.scaled(role, "one change", count, zone * MICROSECOND, "after"),
+            before=costs.scaled("gateway: process", "one change told", count, zone * MICROSECOND, "before"),
+            after=costs.scaled(role, "a zone lost", count, MICROSECOND, "after"),
         ),
         Row(
             role=INSTANCES, what="a lost zone read and taken in, told in one line", unit="s",
@@ -182,6 +213,13 @@
             burst=None if whole is None else whole * (1 / size.budget.bytes_a_second),
             burst_is="a gateway restarts", budget=size.configuration.in_force_s,
         ),
+        Row(
+            role=INSTANCES, what="a restarted gateway has all tables again, from its own store", unit="s",
+            mechanism="none today: the whole list is heard anew", ordinary=None, budget=RESTART_MOST,
+            **costs.versions(
+                "gateway: process", "all tables from the store after a restart", count, MICROSECOND
+            ),
+        ),
         Row(
             role=INSTANCES, what="a whole list as one line, of what a line may be", unit="bytes",
             mechanism="`process/parts.py`: a sixteenth of the memory limit; a longer line is refused",
@@ -191,6 +229,10 @@
             role=INSTANCES, what="memory of the view and its list", unit="bytes",
             mechanism="`state/fleet.py`",
             ordinary=_sum(view, listed), budget=size.memory,
+            before=_sum(
+                costs.at(role, "memory of the view", count, "before"),
+                costs.at(role, "memory of the list", count, "before"),
+            ),
             after=costs.at(role, "memory of the view", count, "after"),
         ),
         Row(
@@ -213,7 +255,7 @@
             mechanism="SIGHUP and a file; `routes/checks.py` checks every rule against every other",
             ordinary=costs.scaled(role, "a table made, one change being a whole one", count, MICROSECOND),
             budget=size.configuration.in_force_s,
-            after=costs.scaled(role, "one change", count, MICROSECOND, "after"),
+            **costs.versions(role, "one change", count, MICROSECOND),
         ),
         Row(
             role=ROUTES, what="rules of one table", unit="number", mechanism="`RULES_MOST` of a routes file",
@@ -223,14 +265,20 @@
             role=ROUTES, what="memory of the table", unit="bytes",
             mechanism="`routes/table.py`, compiled whole",
             ordinary=costs.at(role, "memory of the table", count), budget=size.memory,
-            after=costs.at(role, "memory of the table", count, "after"),
+            **costs.versions(role, "memory of the table", count),
         ),
         Row(
             role=ROUTES, what="a look-up, all routes in one table", unit="s",
             mechanism="`routes/table.py`: by the path's first segment, then one after another",
             ordinary=costs.scaled(role, "one look-up", count, MICROSECOND),
             budget=size.configuration.look_up_p99_us * MICROSECOND,
-            after=costs.scaled(role, "one look-up", count, MICROSECOND, "after"),
+            **costs.versions(role, "one look-up", count, MICROSECOND),
+        ),
+        Row(
+            role=ROUTES, what="the first look-up in a service's set", unit="s",
+            mechanism="none today: all is compiled when the table is made", ordinary=None,
+            budget=size.load.added_p99_ms / 1000,
+            **costs.versions(role, "first look-up of a set", count, MICROSECOND),
         ),
         Row(
             role=ROUTES, what="bytes heard of changes, whole files", unit="bytes/s",
@@ -244,13 +292,17 @@
 def tenants(size: Size, costs: Costs) -> list[Row]:
     count, role = size.configuration.tenants, "gateway: tenants"
     return [
+        Row(
+            role=ROUTES, what="entries of tenants", unit="number", mechanism="the settings' table of shares",
+            ordinary=Figure(count),
+        ),
         Row(
             role=ROUTES, what="memory of tenants", unit="bytes",
             mechanism="`state/counters.py`: a rate for each, beside the settings' table of shares",
             ordinary=_sum(
                 costs.at(role, "memory of the rates", count), costs.at(role, "memory of the shares", count)
             ),
-            budget=size.memory, after=costs.at(role, "memory of tenants", count, "after"),
+            budget=size.memory, **costs.versions(role, "memory of tenants", count),
         ),
         Row(
             role=ROUTES, what="processor time of counting tenants", unit="core",
@@ -263,7 +315,7 @@
         Row(
             role=ROUTES, what="a change of a tenant in force", unit="s",
             mechanism="none: shares are read at the start alone", ordinary=None,
-            budget=size.configuration.in_force_s,
+            budget=size.configuration.in_force_s, **costs.versions(role, "one change", count, MICROSECOND),
         ),
     ]  # fmt: skip
 
@@ -274,7 +326,7 @@
     calls = costs.scaled(role, "calls in", members, seats / members)
     return [
         Row(
-            role=MEMBER, what="calls to the quorum", unit="1/s", mechanism="`fleet/leases/asker.py`",
+            role=MEMBER, what="calls to the quorum", unit="1/s", mechanism="`fleet/leases/proposer.py`",
             ordinary=calls,
         ),
         Row(
@@ -284,8 +336,17 @@
             budget=size.budget.bytes_a_second,
         ),
         Row(
-            role=MEMBER, what="processor time and memory of a member", unit="core",
-            mechanism="`fleet/leases/asker.py`", ordinary=None, budget=size.budget.core_share,
+            role=MEMBER, what="processor time of the core; the link not counted", unit="core",
+            mechanism="`fleet/leases/proposer.py`",
+            ordinary=costs.scaled(
+                "gateway: membership in leases", "processor time of the core", members, MICROSECOND
+            ),
+            budget=size.budget.core_share,
+        ),
+        Row(
+            role=MEMBER, what="memory of the core and the link", unit="bytes",
+            mechanism="`fleet/leases/proposer.py`, `fleet/hosting/links.py`", ordinary=None,
+            budget=size.memory,
         ),
     ]  # fmt: skip
 
--- a/tests/scale/page/render.py
+++ b/tests/scale/page/render.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from tests.scale.page import control, gateway
-from tests.scale.page.figures import Costs, Figure, Row
+from tests.scale.page.figures import KNOWN_WORDS, Costs, Figure, Row
 from tests.scale.page.size import Size
 from tests.scale.slopes import Slope
 
@@ -77,11 +77,14 @@
 
 def over(row: Row) -> str:
     """By how much a row is over its budget."""
-    if row.factor is None:
+    return "-" if row.largest is None else over_words(row.largest.value, row.budget)
+
+
+def over_words(value: float, budget: float | None) -> str:
+    """By how much a value is over its budget: a factor, "no" where it is within, "-" where there is none."""
+    if not budget:
         return "-"
-    if row.factor <= 1.0:
-        return "no"
-    return f"**{factor_words(row.factor)}**"
+    return "no" if value <= budget else f"**{factor_words(value / budget)}**"
 
 
 def factor_words(factor: float) -> str:
@@ -136,7 +139,7 @@
 def most_over(rows: list[Row]) -> str:
     """What gives first in a sentence, then the rows that are over their budgets by most."""
     first = first_to_give(rows)
-    value = max(found.value for found in (first.ordinary, first.burst) if found is not None)
+    value = 0.0 if first.largest is None else first.largest.value
     said = (
         f"**What gives first: {first.what}** ({first.role}): {quantity(value, first.unit)} where "
         f"{quantity(first.budget or 0.0, first.unit)} are allowed, {factor_words(first.factor or 0.0)} "
@@ -150,26 +153,30 @@
     return f"{said}\n{table(('role', 'what', 'over by', 'known'), lines)}"
 
 
+COMPARISON_HEADS = ("role", "what", "before", "now", "new tables", "budget", "over by", "known")
+
+
 def comparison(rows: list[Row]) -> str:
-    """The rows that the new tables replace, before and after."""
-    lines = [
-        [
-            row.role,
-            row.what,
-            figure(row.ordinary if row.burst is None else row.burst, row.unit),
-            figure(row.after, row.unit),
-            "-" if row.budget is None else quantity(row.budget, row.unit),
-            "-"
-            if row.budget is None
-            else ("no" if row.after.value <= row.budget else factor_words(row.after.value / row.budget)),
-            "measured" if row.after.known <= 1 else "not at this size",
-        ]
-        for row in rows
-        if row.after is not None
+    """The rows that a change to what `run` uses, or the tables that are off in `run`, come to replace."""
+    lines = [_comparison_cells(row) for row in rows if row.before is not None or row.after is not None]
+    return table(COMPARISON_HEADS, lines) if lines else "Not measured yet.\n"
+
+
+def _comparison_cells(row: Row) -> list[str]:
+    newest = row.after or row.largest
+    return [
+        row.role,
+        row.what,
+        figure(row.before, row.unit),
+        figure(row.largest, row.unit),
+        figure(row.after, row.unit),
+        "-" if row.budget is None else quantity(row.budget, row.unit),
+        "-" if newest is None else over_words(newest.value, row.budget),
+        "**not measured**" if newest is None else KNOWN_WORDS[newest.known],
     ]
-    if not lines:
-        return "Not measured yet.\n"
-    return table(("role", "what", "now", "new tables", "budget", "over by", "known"), lines)
+
+
+STATE_WORDS = {"before": " (before)", "now": "", "after": " (new tables)"}
 
 
 def slope_table(slopes: list[Slope]) -> str:
@@ -177,7 +184,7 @@
     lines = [
         [
             slope.role,
-            slope.what + (" (new tables)" if slope.state == "after" else ""),
+            slope.what + STATE_WORDS[slope.state],
             f"{slope.unit} by {slope.size}",
             ", ".join(f"{number(size)}: {number(cost)}" for size, cost in slope.points),
             f"{slope.fit.form}, off by {slope.fit.worst_error:.0%} at most",
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -45,7 +45,7 @@
     assert len(sizes) >= 3
     assert all(larger / smaller >= TENFOLD for smaller, larger in zip(sizes, sizes[1:], strict=False))
     assert importlib.util.find_spec(slope.measured_by) is not None
-    assert slope.state in ("now", "after")
+    assert slope.state in slopes_file.STATES
 
 
 def test_every_role_has_its_rows():
