--- /dev/null
+++ b/tests/scale/checker.py
@@ -0,0 +1,216 @@
+"""What the records of a scale test show: breaches, and how long changes took to be in force.
+
+Shares no code with the distribution's cores: it knows the records alone. A breach is one line of text that
+names the gateway, the key and the versions.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tests.scale.records import Answered, Fault, Final, Record, Seen, Sent, Serving, Started, Told, Usage
+
+BREACHES_SHOWN = 20
+
+Key = tuple[str, int, str]  # region, kind, name
+Place = tuple[int, int]  # epoch, sequence
+
+
+@dataclass
+class Evidence:
+    """The records of one test, sorted by what they tell."""
+
+    sent: dict[tuple[str, int], Sent] = field(default_factory=dict)
+    told: list[Told] = field(default_factory=list)
+    seen: list[Seen] = field(default_factory=list)
+    answered: list[Answered] = field(default_factory=list)
+    started: dict[str, list[Started]] = field(default_factory=lambda: defaultdict(list))
+    serving: dict[str, list[Serving]] = field(default_factory=lambda: defaultdict(list))
+    final: list[Final] = field(default_factory=list)
+    faults: list[Fault] = field(default_factory=list)
+    usage: list[Usage] = field(default_factory=list)
+
+
+def gather(records: Iterable[Record]) -> Evidence:
+    """Sort records in."""
+    evidence = Evidence()
+    for record in records:
+        match record:
+            case Sent():
+                evidence.sent[record.region, record.request] = record
+            case Told():
+                evidence.told.append(record)
+            case Seen():
+                evidence.seen.append(record)
+            case Answered():
+                evidence.answered.append(record)
+            case Started():
+                evidence.started[record.gateway].append(record)
+            case Serving():
+                evidence.serving[record.gateway].append(record)
+            case Final():
+                evidence.final.append(record)
+            case Fault():
+                evidence.faults.append(record)
+            case Usage():
+                evidence.usage.append(record)
+    for lives in (*evidence.started.values(), *evidence.serving.values()):
+        lives.sort(key=lambda record: record.at)
+    evidence.seen.sort(key=lambda record: record.at)
+    return evidence
+
+
+# ---- breaches ----------------------------------------------------------------------------------------------
+
+
+def breaches(evidence: Evidence) -> list[str]:
+    """All that must never be, in the order of the rules."""
+    return [
+        *_older_over_newer(evidence),
+        *_two_at_one_place(evidence),
+        *_epochs_out_of_order(evidence),
+        *_accepted_lost(evidence),
+        *_half_a_change(evidence),
+        *_unequal_at_the_end(evidence),
+    ]
+
+
+def _older_over_newer(evidence: Evidence) -> list[str]:
+    """No older version of a key replaces a newer one at a gateway. A life with an emptied store begins
+    anew."""
+    found, newest = list[str](), dict[tuple[str, Key], Place]()
+    emptied = {
+        gateway: [life.at for life in lives if not life.kept] for gateway, lives in evidence.started.items()
+    }
+    since = dict[str, int]()
+    for seen in evidence.seen:
+        begins = emptied.get(seen.gateway, [])
+        life = sum(at <= seen.at for at in begins)
+        if since.setdefault(seen.gateway, life) != life:
+            since[seen.gateway] = life
+            newest = {place: version for place, version in newest.items() if place[0] != seen.gateway}
+        where = seen.gateway, (seen.region, seen.kind, seen.name)
+        version = seen.epoch, seen.sequence
+        if version < newest.get(where, (0, 0)):
+            found.append(f"{seen.gateway}: {seen.name} went back from {newest[where]} to {version}")
+        newest[where] = max(version, newest.get(where, (0, 0)))
+    return found
+
+
+def _two_at_one_place(evidence: Evidence) -> list[str]:
+    """Everybody sees the same change at one sequence of a region."""
+    found, at = list[str](), dict[tuple[str, int], tuple]()
+    for seen in evidence.seen:
+        change = (seen.epoch, seen.kind, seen.name, seen.value)
+        before = at.setdefault((seen.region, seen.sequence), change)
+        if before != change:
+            found.append(f"{seen.gateway}: {seen.region}/{seen.sequence} is {change}, elsewhere {before}")
+    return found
+
+
+def _epochs_out_of_order(evidence: Evidence) -> list[str]:
+    """Along a region's sequence the epoch never falls: nothing of a replaced publisher comes after its
+    successor's changes."""
+    epochs = defaultdict[str, dict[int, int]](dict)
+    for seen in evidence.seen:
+        epochs[seen.region][seen.sequence] = seen.epoch
+    found = list[str]()
+    for region, by_sequence in epochs.items():
+        highest = 0
+        for sequence in sorted(by_sequence):
+            if by_sequence[sequence] < highest:
+                found.append(f"{region}/{sequence}: epoch {by_sequence[sequence]} after epoch {highest}")
+            highest = max(highest, by_sequence[sequence])
+    return found
+
+
+def _accepted_lost(evidence: Evidence) -> list[str]:
+    """What an author was told is accepted is in force at the end everywhere, or something newer of its key
+    is. A gateway is held to it if it said at the end where it is."""
+    newest = dict[Key, tuple[int, int, str]]()
+    for told in evidence.told:
+        if told.state != "accepted":
+            continue
+        sent = evidence.sent[told.region, told.request]
+        key = sent.region, sent.kind, sent.name
+        newest[key] = max(newest.get(key, (0, 0, "")), (told.epoch, told.sequence, sent.value))
+    at_end = {record.gateway for record in evidence.final}
+    lives = {
+        gateway: [life.at for life in begun if not life.kept] for gateway, begun in evidence.started.items()
+    }
+    held = defaultdict[str, dict[Key, tuple[int, int, str]]](dict)
+    for seen in evidence.seen:
+        if seen.at >= max(lives.get(seen.gateway, [0]), default=0):
+            held[seen.gateway][seen.region, seen.kind, seen.name] = (seen.epoch, seen.sequence, seen.value)
+    found = list[str]()
+    for gateway in sorted(at_end):
+        for key, version in newest.items():
+            has = held[gateway].get(key, (0, 0, ""))
+            if has[:2] < version[:2]:
+                found.append(f"{gateway}: {key[2]} is at {has[:2]}, but {version[:2]} was told as accepted")
+            elif has[:2] == version[:2] and has[2] != version[2]:
+                found.append(f"{gateway}: {key[2]} at {has[:2]} has another value than was accepted")
+    return found
+
+
+def _half_a_change(evidence: Evidence) -> list[str]:
+    """All parts of one answer come from one version."""
+    return [
+        f"{answer.gateway}: a request for {answer.name} saw {sorted(set(answer.marks))}"
+        for answer in evidence.answered
+        if len(set(answer.marks)) > 1
+    ]
+
+
+def _unequal_at_the_end(evidence: Evidence) -> list[str]:
+    """All tables of a region are equal at the end, and as far as each other."""
+    ends = defaultdict[str, dict[tuple[int, int, str], list[str]]](lambda: defaultdict(list))
+    for final in evidence.final:
+        ends[final.region][final.epoch, final.sequence, final.digest].append(final.gateway)
+    found = list[str]()
+    for region, kinds in ends.items():
+        if len(kinds) > 1:
+            parts = [
+                f"{end}: {len(who)} ({who[0]})"
+                for end, who in sorted(kinds.items(), key=lambda row: -len(row[1]))
+            ]
+            found.append(f"{region}: unequal at the end: {'; '.join(parts[:4])}")
+    return found
+
+
+# ---- times -------------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True)
+class Lag:
+    """From the author's asking to a change being in force at a gateway, over all pairs: milliseconds."""
+
+    pairs: int = 0
+    p50: float = 0.0
+    p99: float = 0.0
+    most: float = 0.0
+
+
+def lag(evidence: Evidence) -> Lag:
+    """Changes that were superseded before they reached a gateway have no pair there; what a gateway
+    catches up on after a start, from before that start, is none of it."""
+    asked = dict[tuple[str, int], int]()
+    for told in evidence.told:
+        if told.state == "accepted":
+            asked[told.region, told.sequence] = evidence.sent[told.region, told.request].at
+    begun = {gateway: lives[-1].at for gateway, lives in evidence.started.items()}
+    times = sorted(
+        seen.at - sent_at
+        for seen in evidence.seen
+        if (sent_at := asked.get((seen.region, seen.sequence))) is not None
+        and sent_at >= begun.get(seen.gateway, 0)
+    )
+    if not times:
+        return Lag()
+    return Lag(len(times), _at(times, 0.5), _at(times, 0.99), times[-1] / 1000)
+
+
+def _at(times: list[int], share: float) -> float:
+    return times[min(len(times) - 1, int(share * len(times)))] / 1000
--- /dev/null
+++ b/tests/scale/test_checker.py
@@ -0,0 +1,92 @@
+"""The checker of the scale tests: sound records pass, and each planted breach is caught."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.scale.checker import breaches, gather, lag
+from tests.scale.records import Answered, Final, Record, Recorder, Seen, Sent, Started, Told, read
+
+MS = 1000
+
+
+def sound() -> list[Record]:
+    """Two gateways; three changes, the last one by a second epoch; one gateway restarts with its store
+    emptied."""
+    records: list[Record] = [Started(0, "g1", False), Started(0, "g2", False)]
+    changes = [(1, 1, "shop", "a"), (1, 2, "shop", "b"), (2, 3, "pay", "c")]
+    for epoch, sequence, name, value in changes:
+        at = sequence * 100 * MS
+        records.append(Sent(at, sequence, "eu", 1, name, value))
+        records.append(Told(at + 10 * MS, sequence, "eu", "accepted", epoch, sequence, "", 0))
+        for gateway, late in (("g1", 50 * MS), ("g2", 70 * MS)):
+            records.append(Seen(at + late, gateway, "eu", epoch, sequence, 1, name, value))
+    records.append(Started(500 * MS, "g2", False))
+    records.append(Seen(600 * MS, "g2", "eu", 1, 2, 1, "shop", "b"))
+    records.append(Seen(600 * MS, "g2", "eu", 2, 3, 1, "pay", "c"))
+    records.append(Answered(700 * MS, "g1", "shop", ["b", "b"]))
+    records += [Final(900 * MS, gateway, "eu", 2, 3, "d1") for gateway in ("g1", "g2")]
+    return records
+
+
+def test_sound_records_show_no_breach_and_how_long_changes_took():
+    evidence = gather(sound())
+    assert breaches(evidence) == []
+    times = lag(evidence)
+    assert (times.pairs, times.p50, times.most) == (3, 50.0, 50.0)
+
+
+PLANTED = {
+    "an older version over a newer": (
+        [Seen(650 * MS, "g1", "eu", 1, 1, 1, "shop", "a")],
+        "went back",
+    ),
+    "two changes at one sequence": (
+        [Seen(650 * MS, "g1", "eu", 2, 3, 1, "pay", "other")],
+        "elsewhere",
+    ),
+    "a replaced publisher's change after its successor's": (
+        [Seen(650 * MS, "g1", "eu", 1, 4, 1, "cart", "x")],
+        "epoch 1 after epoch 2",
+    ),
+    "an accepted change that never comes": (
+        [Sent(650 * MS, 9, "eu", 1, "cart", "x"), Told(660 * MS, 9, "eu", "accepted", 2, 4, "", 0)],
+        "was told as accepted",
+    ),
+    "an accepted change that comes with another value": (
+        [
+            Sent(650 * MS, 9, "eu", 1, "cart", "x"),
+            Told(660 * MS, 9, "eu", "accepted", 2, 4, "", 0),
+            Seen(670 * MS, "g1", "eu", 2, 4, 1, "cart", "y"),
+            Seen(670 * MS, "g2", "eu", 2, 4, 1, "cart", "y"),
+        ],
+        "another value",
+    ),
+    "half a change": ([Answered(650 * MS, "g2", "shop", ["a", "b"])], "saw ['a', 'b']"),
+    "unequal tables at the end": ([Final(901 * MS, "g3", "eu", 2, 3, "d2")], "unequal at the end"),
+    "a table that is behind at the end": ([Final(901 * MS, "g3", "eu", 1, 2, "d1")], "unequal at the end"),
+}
+
+
+@pytest.mark.parametrize("what", PLANTED)
+def test_a_planted_breach_is_caught(what):
+    planted, words = PLANTED[what]
+    found = breaches(gather(sound() + planted))
+    assert any(words in line for line in found), found
+
+
+def test_an_older_version_after_a_start_with_the_store_kept_is_a_breach():
+    records = sound()
+    records.append(Started(1000 * MS, "g1", True))
+    records.append(Seen(1001 * MS, "g1", "eu", 1, 1, 1, "shop", "a"))
+    assert any("went back" in line for line in breaches(gather(records)))
+
+
+def test_records_are_read_as_they_were_written_but_for_a_cut_line(tmp_path):
+    recorder = Recorder(tmp_path / "g.records")
+    for record in sound():
+        recorder.write(record)
+    recorder.close()
+    with open(tmp_path / "g.records", "ab") as file:
+        file.write(b'["seen",12')
+    assert list(read(tmp_path)) == sound()
