--- a/linenbridge/fleet/leases/errors.py
+++ b/linenbridge/fleet/leases/errors.py
@@ -1,6 +1,6 @@
-"""What goes wrong with leases, and what seats refuse.
+"""Errors of leases, and the reasons for which acceptors refuse a request.
 
-Owns the words only. It must never decide when one of them applies.
+Types only. It must never decide when one of them applies.
 """
 
 from __future__ import annotations
@@ -9,69 +9,89 @@
 
 
 class LeaseError(FleetError):
-    """Anything about leases."""
+    """The base of all errors of leases."""
 
 
 class HeldByAnother(Refusal):
+    """The place is leased to another member."""
+
     code = "held"
     advice = "nothing to do: the place is free again when its holder leaves or its lease runs out"
 
 
 class BehindOthers(Refusal):
+    """Members with lower tickets wait for the task."""
+
     code = "behind"
     advice = "nothing to do: members that asked earlier come first"
 
 
 class OlderTerm(Refusal):
+    """The requested term is not above the newest that the acceptor knows."""
+
     code = "older"
     advice = "nothing to do: the member asks again with a newer term"
 
 
 class LeaseTooLong(Refusal):
+    """The requested length is above the acceptor's `longest`."""
+
     code = "too-long"
     advice = "set the same `lease` in the settings of all members"
 
 
-class SeatAside(Refusal):
+class AcceptorAside(Refusal):
+    """The acceptor has not recovered yet, or its store failed."""
+
     code = "aside"
-    advice = "wait for the longest lease after the seat's start; if it stays so, look at the seat's own log"
+    advice = (
+        "wait for the longest lease after the acceptor's start; "
+        "if it stays so, look at the acceptor's own log"
+    )
 
 
 class OtherGeneration(Refusal):
+    """Proposer and acceptor have different generations of the quorum."""
+
     code = "generation"
     advice = "hand the newer settings to all members and send each SIGHUP"
 
 
-class CouncilLost(LeaseError):
-    """No majority of the council answers: nothing is granted."""
+class QuorumLost(LeaseError):
+    """No majority of the acceptors answers: nothing is granted."""
 
+    formerly = "CouncilLost"
     advice = (
-        "start the council's members that are down, or mend the links to them; tasks stay unheld until then"
+        "start the quorum's members that are down, or mend the links to them; tasks stay unheld until then"
     )
 
 
 class MemoryLost(LeaseError):
-    """A seat without memory can't hear enough others that have theirs."""
+    """An acceptor without records can't reach enough others that have theirs."""
 
     advice = (
-        "start the other seats with their stores; if all stores are gone, set `first-term` above every term "
-        "that was ever used and start all seats anew"
+        "start the other acceptors with their stores; if all stores are gone, set `first-term` above every "
+        "term that was ever used and start all acceptors anew"
     )
 
 
 class DiskWentBack(LeaseError):
-    """A seat's store is older than what others have heard from it."""
+    """An acceptor's store is older than what others have seen of it: it was restored from a copy."""
 
-    advice = "the seat stands aside and learns anew; find out who restored its store, and never restore one"
+    advice = (
+        "the acceptor stands aside and learns anew; find out who restored its store, and never restore one"
+    )
 
 
 class StoreUnusable(LeaseError):
-    """Promises can't be kept on disk: the seat grants nothing."""
+    """The store can't be opened or written: the acceptor grants nothing."""
 
-    advice = "give the store a disk that can be written, with room; the seat takes part again after a restart"
+    advice = (
+        "give the store a disk that can be written, with room; the acceptor takes part again after a restart"
+    )
 
 
 class StoreTorn(LeaseError):
-    """The store can't be read whole."""
+    """The store is damaged: it can't be read completely."""
 
-    advice = "move the damaged file away and restart: the seat learns anew from the others"
+    advice = "move the damaged file away and restart: the acceptor learns anew from the others"
