Links: a bounded queue for peers that read nothing; other words, names by a rule

The bound on unsent bytes looked at a buffer of the transport that never grows beyond what is sent at once: with 1,000 words of 10,000 bytes to a socket that takes nothing, 10 MB were held and the link stood. Now the transport's producer interface says when its buffer is full; what waits behind it is counted, and AMP's answers count too. For the distribution, the decoder, the bound on connections and a rule for names that no settings list are handed in; such names are counted together, so that made-up ones cost no memory.

--- a/tests/fleet/test_links.py
+++ b/tests/fleet/test_links.py
@@ -5,9 +5,14 @@
 import io
 
 import pytest
+from msgspec import Struct
+from msgspec.msgpack import Decoder
+from twisted.internet.abstract import FileDescriptor
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
-from linenbridge.fleet.hosting.links import CONNECT_WAIT, Links, Meet, Say, _encode
+from linenbridge.fleet.hosting.links import CONNECT_WAIT, Links, Meet, Say, WellFormedNames, _encode
 from linenbridge.fleet.leases.words import Recall
 from linenbridge.net.log import Log
 
@@ -16,20 +21,54 @@
     def setTcpNoDelay(self, on: bool) -> None: ...  # noqa: N802
 
 
+class Ping(Struct, array_like=True, frozen=True, tag="ping"):
+    """A word of another set than the leases'."""
+
+    text: str
+
+
+class StuckSocket(FileDescriptor):
+    """Twisted's own buffer before a socket whose far end reads nothing."""
+
+    def __init__(self, reactor) -> None:
+        super().__init__(reactor)
+        self.connected, self.aborted = True, False
+
+    def getPeer(self) -> str:  # noqa: N802
+        return "far"
+
+    getHost = getPeer  # noqa: N815
+
+    def setTcpNoDelay(self, on: bool) -> None: ...  # noqa: N802
+    def startWriting(self) -> None: ...  # noqa: N802
+    def stopWriting(self) -> None: ...  # noqa: N802
+
+    def writeSomeData(self, data: bytes) -> int:  # noqa: N802
+        return 0
+
+    def abortConnection(self) -> None:  # noqa: N802
+        self.aborted, self.connected = True, False
+
+    def held(self) -> int:
+        return len(self.dataBuffer) - self.offset + self._tempDataLen
+
+
 class End:
-    """One member's links on a reactor in memory."""
+    """One process's links on a reactor in memory."""
 
-    def __init__(self, name: str, known: str) -> None:
-        self.reactor, self.words = MemoryReactorClock(), []
-        log = Log(io.BytesIO())
+    def __init__(self, name: str, known, **more) -> None:  # noqa: ANN001
+        self.reactor, self.words, self.ups = MemoryReactorClock(), [], []
+        self.log = Log(io.BytesIO())
+        known = frozenset(known.split()) if isinstance(known, str) else known
         self.links = Links(
-            name, frozenset(known.split()), self.reactor, log, lambda *row: self.words.append(row)
-        )
+            name, known, self.reactor, self.log, lambda *row: self.words.append(row),
+            changed=lambda *row: self.ups.append(row), **more,
+        )  # fmt: skip
 
-    def came(self):
+    def came(self, wire=None):  # noqa: ANN001
         link = self.links.buildProtocol(None)
         if link is not None:
-            link.makeConnection(Wire())
+            link.makeConnection(wire or Wire())
         return link
 
 
@@ -107,3 +146,105 @@
     carry(other, one)
     assert one.transport.disconnecting or one.transport.disconnected
     assert "c" not in here.links.to
+
+
+def test_another_set_of_words_takes_the_same_commands():
+    decoder = Decoder(Ping)
+    here, there = End("a", "b", decoder=decoder), End("b", "a", decoder=decoder)
+    one, other = here.came(), there.came()
+    carry(one, other)
+    carry(other, one)
+    other.links.say("a", Ping("here"))
+    carry(other, one)
+    assert here.words == [("b", Ping("here"))]
+    other.callRemote(Say, word=_encode.encode(Recall(3, "b", 1)))
+    carry(other, one)
+    assert one.transport.disconnecting or one.transport.disconnected, "a word of the leases is none here"
+    assert len(here.words) == 1
+
+
+@pytest.mark.parametrize("name", ["g-1", "g-1.eu", "g-" + "9" * 61])
+def test_a_rule_takes_names_that_no_settings_list(name):
+    here, there = End("relay", WellFormedNames("g-"), connections=4), End(name, "relay")
+    one, other = here.came(), there.came()
+    carry(other, one)
+    assert list(here.links.to) == [name] and here.ups == [(name, True)]
+    one.connectionLost(Failure(ConnectionDone()))
+    assert not here.links.to and here.ups[-1] == (name, False)
+
+
+@pytest.mark.parametrize("name", ["", "relay", "h-1", "g-1 x", "g-" + "9" * 62, "g-\n"])
+def test_a_rule_refuses_names_that_are_not_well_formed(name):
+    here, stranger = End("relay", WellFormedNames("g-"), connections=4), End(name, "relay")
+    one, other = here.came(), stranger.came()
+    carry(other, one)
+    assert one.transport.disconnecting or one.transport.disconnected
+    assert not here.links.to and not here.ups
+
+
+def test_names_by_a_rule_need_a_bound_and_cost_no_counter_each():
+    with pytest.raises(ValueError, match="bound on connections"):
+        End("relay", WellFormedNames())
+    here = End("relay", WellFormedNames("g-"), connections=3)
+    ends = [(here.came(), End(name, "relay").came()) for name in ("g-1", "g-2", "x", "y")]
+    assert ends[3][0] is None, "no more connections than the bound"
+    for one, other in ends[:3]:
+        carry(other, one)
+    assert {names for names in here.log.counts if names[0].startswith("link.")} == {
+        ("link.up", "any"), ("link.stranger", "any"), ("link.too_many", "all"),
+    }  # fmt: skip
+
+
+def stuck(unsent_most: int):
+    """A link to one that names itself and then reads nothing."""
+    here = End("a", "b c", unsent_most=unsent_most, decoder=Decoder(Ping))
+    wire = StuckSocket(here.reactor)
+    one, other = here.came(wire), End("b", "a").came()
+    carry(other, one)
+    return here, one, wire
+
+
+def test_one_that_reads_nothing_costs_bounded_memory_and_then_its_own_connection():
+    here, one, wire = stuck(unsent_most=200_000)
+    most = 0
+    for _ in range(400):
+        here.links.say("b", Ping("x" * 10_000))
+        most = max(most, one.outbox.bytes + wire.held())
+    assert wire.aborted and most < 200_000 + 2 * FileDescriptor.bufferSize
+    assert here.log.counts["link.unread", "b"] == 1
+    assert not one.outbox.waiting and one.outbox.bytes == 0
+
+
+def test_one_that_asks_for_answers_and_reads_none_is_bounded_too():
+    here, one, wire = stuck(unsent_most=50_000)
+    asks = StringTransport()
+    for number in range(20_000):
+        asks.clear()
+        box = {b"_command": b"Nothing", b"_ask": b"%d" % number}
+        for key, value in box.items():
+            asks.write(len(key).to_bytes(2) + key + len(value).to_bytes(2) + value)
+        asks.write(b"\0\0")
+        one.dataReceived(asks.value())
+        if wire.aborted:
+            break
+    assert wire.aborted and here.log.counts["link.unread", "b"] == 1
+
+
+def test_one_that_reads_late_gets_every_word_in_order():
+    here, one, wire = stuck(unsent_most=1_000_000)
+    for number in range(60):
+        here.links.say("b", Ping(f"{number:05}" * 1_000))
+    assert one.outbox.waiting, "some words wait behind the transport's own buffer"
+    there = End("b", "a", decoder=Decoder(Ping))
+    far, sent = there.came(), bytearray()
+
+    def take(data: bytes) -> int:
+        sent.extend(data)
+        return len(data)
+
+    wire.writeSomeData = take
+    while wire.held() or one.outbox.waiting:
+        wire.doWrite()
+    far.dataReceived(bytes(sent))
+    assert [word.text[:5] for _, word in there.words] == [f"{number:05}" for number in range(60)]
+    assert not wire.aborted and one.outbox.bytes == 0
