--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -75,10 +75,15 @@
 
 
 def _witness(configuration: Configuration) -> int:
-    """Settings with a fleet alone need no configuration of the platform: a member that serves no RPCs."""
+    """Settings with a fleet or a distribution alone need no configuration of the platform: a process that
+    serves no RPCs."""
     from linenbridge.fleet.hosting.witness import run as witness
     from linenbridge.fleet.configuration import fleet
 
+    if configuration.part("distribution") is not None:
+        from linenbridge.distribution.hosting.server import run as distribute
+
+        return distribute(configuration)
     told = fleet(configuration)
     if told is None or configuration.part("processor") is not None:
         raise ConfigurationError(f"{configuration.path}: only a fleet alone runs without --config")
