Distribution: relay, publisher and gateway as processes around the cores

Started by `linenbridge serve` where the settings have a distribution and no processor. No process of these has been started by a test yet.

--- a/linenbridge/distribution/configuration.py
+++ b/linenbridge/distribution/configuration.py
@@ -48,8 +48,8 @@
 
 @dataclass(frozen=True, slots=True)
 class DistributionSettings:
-    """All that the settings say of the distribution. Times in microseconds, rates in bytes a second; `store`
-    is a file's path, "" is none."""
+    """All that the settings say of the distribution. Times in microseconds, rates in bytes a second; "" is no
+    store, or no configuration of the platform. A relay's `store` is a folder, a gateway's a file."""
 
     role: Role
     name: str
@@ -57,6 +57,7 @@
     listen: Address | None
     store: str
     trusted: bool
+    platform: str
     rate: int
     rate_between_regions: int
     gather: int
@@ -100,6 +101,7 @@
     settings = DistributionSettings(
         Role(said["role"]), said["name"], said["region"], None if listen is None else _address(listen),
         configuration.beside(said["store"]), said["store-never-goes-back"] in ("true", "1"),
+        configuration.beside(said["platform"]),
         size(said["rate"]), size(said["rate-between-regions"]),
         duration(said["gather"]), duration(said["heartbeat"]), duration(said["silence"]),
         int(said["followers"]), int(said["authors"]), regions,
@@ -174,7 +176,7 @@
             refuse(
                 element,
                 f"a relay or publisher is named {settings.name}",
-                "give the gateway a name of its own",
+                "give the gateway its own name",
             )
             return
 
@@ -185,7 +187,9 @@
     if settings.name not in home.relays:
         refuse(element, f"{settings.name} is no relay of {settings.region}", "add it to the region's relays")
     if not settings.store:
-        refuse(element, "a relay without a disk accepts nothing", "add `store`, a file on a disk that lasts")
+        refuse(
+            element, "a relay without a disk accepts nothing", "add `store`, a folder on a disk that lasts"
+        )
 
 
 def _check_publisher(
--- /dev/null
+++ b/linenbridge/distribution/hosting/server.py
@@ -0,0 +1,106 @@
+"""One process of the distribution alone: a relay, a publisher, or a gateway that serves no RPCs.
+
+Owns its start and end. It must never import what serves RPCs.
+"""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+from linenbridge.configuration.read import Configuration, ConfigurationError
+from linenbridge.distribution.configuration import DistributionSettings, Role, distribution
+from linenbridge.distribution.errors import RelayStoreError
+from linenbridge.distribution.hosting.gateway import Gateway
+from linenbridge.distribution.hosting.methods import Methods, methods_of
+from linenbridge.distribution.hosting.publisher import PublisherProcess
+from linenbridge.distribution.hosting.relay import Relay
+from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
+from linenbridge.distribution.view.values import ValueChecks
+from linenbridge.distribution.view.view import View
+from linenbridge.fleet.configuration import fleet
+from linenbridge.logging.log import structured
+from linenbridge.net.log import Log
+from linenbridge.process import lifetime
+
+
+class Process(Protocol):
+    """What all roles have in common."""
+
+    def facts(self) -> dict[str, int]: ...
+    def reload(self, path: str, /) -> None: ...
+    def close(self, closed: Callable[[], None], /) -> None: ...
+
+
+def run(configuration: Configuration) -> int:
+    """One process until its end; the exit code. ConfigurationError before anything stands."""
+    settings = distribution(configuration)
+    if settings is None or configuration.part("processor") is not None:
+        raise ConfigurationError(f"{configuration.path}: only a distribution alone runs without --config")
+    methods = methods_of(settings)
+    log = structured(sys.stderr.buffer, configuration.log_level)
+    reactor = lifetime.begin(log)
+    process = _process(configuration, settings, methods, reactor, log)
+
+    def stop() -> None:
+        log.event("stopping")
+        process.close(reactor.stop)
+
+    def counters() -> None:
+        log.counters(**process.facts())
+
+    def anew() -> None:
+        log.event(
+            "distribution.not_reloaded", path=configuration.path, do="restart: settings count from then"
+        )
+
+    lifetime.run(reactor, log, stop, counters, anew)
+    return 0
+
+
+def _process(
+    configuration: Configuration, settings: DistributionSettings, methods: Methods, reactor: Any, log: Log
+) -> Process:
+    random = Random(secrets.randbits(64))
+    match settings.role:
+        case Role.RELAY:
+            return _relay(settings, reactor, log, random)
+        case Role.PUBLISHER:
+            told = fleet(configuration)
+            if told is None:
+                raise ConfigurationError(f"{configuration.path}: a publisher needs the element fleet")
+            check = ValueChecks(methods.methods, methods.longest)
+            return PublisherProcess(settings, told, reactor, log, check, random)
+    view, store = open_view(settings, methods, log)
+    return Gateway(settings, reactor, log, view, random, store)
+
+
+def _relay(settings: DistributionSettings, reactor: Any, log: Log, random: Random) -> Relay:
+    """A relay whose disk cannot be used does not start: the others go on without it."""
+    try:
+        return Relay(settings, reactor, log, random)
+    except RelayStoreError as error:
+        raise ConfigurationError(str(error)) from None
+
+
+def open_view(
+    settings: DistributionSettings, methods: Methods, log: Log, unix_offset: int = 0
+) -> tuple[View, ViewStore | None]:
+    """The view of the last life where the settings name a store that holds one, else a new one."""
+
+    def new_view() -> View:
+        return View(methods.methods, methods.longest, unix_offset)
+
+    if not settings.store:
+        return new_view(), None
+    store = ViewStore(settings.store, fingerprint(method.name for method in methods.methods), log.event)
+    view = restored(store, new_view)
+    log.event("distribution.restored", positions=[list(_words(each)) for each in view.positions()])
+    return view, store
+
+
+def _words(position: Any) -> tuple[str, int, int]:
+    return position.region, position.epoch, position.sequence
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -30,13 +30,14 @@
 
 class Member:
     """`life` is another for each start of the process; `held` is told where releases are held, None:
-    nowhere."""
+    nowhere; `tasks_changed` is told of a task that this member has begun or ceased to hold."""
 
     def __init__(
         self, told: FleetTold, reactor: Any, log: Log, life: int,
         held: Callable[[frozenset[str] | None], None] = lambda zones: None,
+        tasks_changed: Callable[[str], None] = lambda task: None,
     ) -> None:  # fmt: skip
-        self.told, self.reactor, self.log = told, reactor, log
+        self.told, self.reactor, self.log, self.tasks_changed = told, reactor, log, tasks_changed
         self.name, self.life = f"{told.member}#{life:x}", life
         now = clock.now()
         self.asker = Asker(self.name, told.council, told.pace, life, now)
@@ -139,6 +140,7 @@
         else:
             _, task, place, term = decision
             self.log.event(f"task.{kind}", task=task, place=place, term=term)
+            later(self.reactor, self.tasks_changed, task)
             if kind == "held" and task == RESTARTS and self.leaving is not None:
                 self._go()
 
