--- /dev/null
+++ b/tests/scale/measure/relay.py
@@ -0,0 +1,217 @@
+"""A relay's feed by its followers, its tables by their keys, and a publisher by the keys of its log.
+
+The real cores with a clock in hand; messages are encoded as a link encodes them and not sent. Neither links
+nor disks are in the times.
+"""
+
+from __future__ import annotations
+
+import time
+from random import Random
+
+import msgspec
+
+from linenbridge.distribution import feed as feed_module
+from linenbridge.distribution.changes import START, Change, Kind, Position, TenantValue, Version, sealed
+from linenbridge.distribution.decisions import Send
+from linenbridge.distribution.feed import Feed, FeedSettings
+from linenbridge.distribution.messages import (
+    Append,
+    Appended,
+    EncodedBatch,
+    Follow,
+    Prepare,
+    Prepared,
+    Progress,
+    Publish,
+)
+from linenbridge.distribution.peers import PublisherPace
+from linenbridge.distribution.publisher import Publisher
+from linenbridge.distribution.table import Table
+
+from tests.scale.measure.costs import held_bytes, processor_time, text_of
+from tests.scale.measure.view import (
+    ALL_SIZES,
+    BATCH,
+    Author,
+    all_changes,
+    instance_changes,
+    instance_key,
+    instance_value,
+)
+from tests.scale.slopes import Slope, record, slope
+
+MEASURED_BY = "tests.scale.measure.relay"
+RELAY, PUBLISHER = "relay", "publisher"
+FOLLOWERS = (14, 140, 1_400)
+KEYS = (5_600, 56_000, 560_000)  # routes' sets, tenants and instances of all regions
+LOG_KEYS = (1_000, 10_000, 100_000)  # of one region
+REGIONS = [f"region-{number}" for number in range(6)]
+RELAYS = tuple(f"relay-{number}" for number in range(4))
+RATE = 14_000  # bytes a second that a follower takes
+CHANGES_A_SECOND = 3.3  # of configuration and, from restarts, of instances
+SECONDS = 10
+STEP = 50_000  # microseconds between two looks at the feed
+MICROSECONDS = 1_000_000
+VALUE = msgspec.msgpack.encode(TenantValue(0.5))
+
+
+class Followers:
+    """Gateways that take all that a feed sends, acknowledge it at once and count its bytes."""
+
+    def __init__(self, count: int) -> None:
+        settings = FeedSettings(followers_most=count)
+        self.feed = Feed("relay-0", REGIONS[0], REGIONS, settings, Random(1), 0)
+        self.positions = {f"g{n}": dict.fromkeys(REGIONS, START) for n in range(count)}
+        self.received = dict.fromkeys(self.positions, 0)
+        self.bytes = self.nanoseconds = 0
+        for name in self.positions:
+            self.feed.on_follow(0, Follow(name, 1, [], RATE, []))
+
+    def pull(self, now: int) -> None:
+        """What the feed decides, encoded; those that it was for report their progress."""
+        started = time.process_time_ns()
+        while (decision := self.feed.next_decision(now)) is not None:
+            if isinstance(decision, Send) and isinstance(decision.message, EncodedBatch):
+                self.bytes += len(msgspec.msgpack.encode(decision.message))
+                self._report(now, decision.to, decision.message)
+        self.nanoseconds += time.process_time_ns() - started
+
+    def _report(self, now: int, name: str, message: EncodedBatch) -> None:
+        self.positions[name][message.region] = message.upto
+        self.received[name] += 1
+        positions = [
+            Position(region, version.epoch, version.sequence)
+            for region, version in self.positions[name].items()
+        ]
+        self.feed.on_progress(now, Progress(name, 1, positions, [], self.received[name]))
+
+    def commit(self, now: int, change: Change) -> None:
+        started = time.process_time_ns()
+        self.feed.on_committed(now, change.region, [change])
+        self.nanoseconds += time.process_time_ns() - started
+
+
+def feed_costs(count: int) -> tuple[float, float]:
+    """Microseconds of a relay's core a second, and bytes a second that a follower is sent."""
+    followers, sequences = Followers(count), dict.fromkeys(REGIONS, 0)
+    followers.pull(0)
+    followers.bytes = followers.nanoseconds = 0
+    due = 0.0
+    for step in range(SECONDS * MICROSECONDS // STEP):
+        now = (step + 1) * STEP
+        due += CHANGES_A_SECOND * STEP / MICROSECONDS
+        while due >= 1.0:
+            due -= 1.0
+            region = REGIONS[sum(sequences.values()) % len(REGIONS)]
+            sequences[region] += 1
+            number = sequences[region]
+            version = Version(1, number)
+            value = instance_value(number)
+            followers.commit(now, sealed(region, version, Kind.INSTANCE, instance_key(number), value))
+        followers.pull(now)
+    return followers.nanoseconds / 1000 / SECONDS, followers.bytes / SECONDS / count
+
+
+def whole_bytes(instances: int) -> int:
+    """Bytes of all changes that a follower without anything is sent, routes and tenants in proportion."""
+    return sum(len(msgspec.msgpack.encode(change)) for change in all_changes(Author(), instances))
+
+
+def filled(count: int) -> Table:
+    table, batch = Table("one"), list[Change]()
+    for change in instance_changes(Author(), count):
+        batch.append(change)
+        if len(batch) == BATCH:
+            table.apply(batch[-1].version, batch)
+            batch = []
+    if batch:
+        table.apply(batch[-1].version, batch)
+    return table
+
+
+def change_time(count: int) -> float:
+    """Microseconds for one change of a key that a relay's table holds."""
+    table = filled(count)
+    calls, repeats = 100, 5
+    changes = iter(
+        [
+            sealed("one", Version(1, count + n + 1), Kind.INSTANCE, instance_key(n), instance_value(n))
+            for n in range(calls * repeats)
+        ]
+    )
+
+    def change() -> None:
+        taken = next(changes)
+        table.apply(taken.version, [taken])
+
+    return processor_time(change, calls, repeats)
+
+
+class PublishedRegion:
+    """A publisher whose relays have everything on disk at once."""
+
+    def __init__(self) -> None:
+        self.now = 0
+        self.core = Publisher("one", "publisher", RELAYS, PublisherPace(), Random(1), lambda *_: "")
+        self.core.on_term(self.now, 1)
+        self.settle()
+
+    def settle(self) -> None:
+        while True:
+            self.core.on_term(self.now, 1)
+            decision = self.core.next_decision(self.now)
+            if decision is None:
+                return
+            if isinstance(decision, Send):
+                self._answer(decision)
+
+    def _answer(self, send: Send) -> None:
+        message = send.message
+        if isinstance(message, Prepare):
+            self.core.on_prepared(self.now, Prepared("one", 1, send.to, START, 0, "", 1, False))
+        elif isinstance(message, Append):
+            upto = message.changes[-1].version if message.changes else message.previous
+            self.core.on_appended(self.now, Appended("one", 1, send.to, upto.sequence, "", 1))
+
+    def publish(self, number: int) -> None:
+        self.now += 1
+        message = Publish(number, "one", Kind.TENANT, f"tenant-{number:07d}", VALUE)
+        self.core.on_publish(self.now, "author", message)
+        self.settle()
+
+
+def publish_time(count: int) -> float:
+    """Microseconds of the publisher's core for one change, from the author's request to its acceptance."""
+    region = PublishedRegion()
+    for number in range(count):
+        region.publish(number)
+    if region.core.log.committed < count:
+        raise RuntimeError(f"{region.core.log.committed} of {count} changes were committed")
+    numbers = iter(range(10_000))
+    return processor_time(lambda: region.publish(next(numbers) % count), 200)
+
+
+def rows() -> list[Slope]:
+    feeds = [(count, feed_costs(count)) for count in FOLLOWERS]
+    common = dict(measured_by=MEASURED_BY, text=text_of(feed_module), state="after")
+    pace = f"{CHANGES_A_SECOND} changes a second over 6 regions, heartbeats and progress included"
+    return [
+        slope("linear", [(count, cost[0]) for count, cost in feeds], role=RELAY,
+              what="processor time of the feed", size="followers", unit="us a second", note=pace, **common),
+        slope("constant", [(count, cost[1]) for count, cost in feeds], role=RELAY,
+              what="bytes to a follower", size="followers", unit="bytes a second", note=pace, **common),
+        slope("linear", [(n, held_bytes(lambda n=n: filled(n))) for n in KEYS], role=RELAY,
+              what="memory of the tables", size="keys", unit="bytes", **common),
+        slope("constant", [(n, change_time(n)) for n in KEYS], role=RELAY,
+              what="one change taken in", size="keys", unit="us", **common),
+        slope("proportional", [(n, whole_bytes(n)) for n in ALL_SIZES], role=RELAY,
+              what="bytes of all tables", size="instances", unit="bytes",
+              note="with routes and tenants in proportion", **common),
+        slope("constant", [(n, publish_time(n)) for n in LOG_KEYS], role=PUBLISHER,
+              what="one change accepted", size="keys of the region", unit="us", **common),
+    ]  # fmt: skip
+
+
+if __name__ == "__main__":
+    record(rows())
