The mutants of the leases patch the proposer's method under its present name

Cause: the method _taken of the proposer became _on_granted, and one mutant still looked for the old name. Change: the mutant takes the method under its present name; what it breaks is the same.

--- a/tests/fleet/explore/mutants.py
+++ b/tests/fleet/explore/mutants.py
@@ -15,10 +15,10 @@
 @contextmanager
 def counts_from_the_answer() -> Iterator[None]:
     """The holder counts its lease from when an acceptor answered, not from when it asked."""
-    taken = proposer.Proposer._taken
+    granted = proposer.Proposer._on_granted
 
     def late(self, now, held, name, place, term, asked):
-        return taken(self, now, held, name, place, term, now)
+        return granted(self, now, held, name, place, term, now)
 
     with patch.object(proposer.Proposer, "_on_granted", late):
         yield
