The fleet's orders and sums are kept change by change; same decisions

Need: Fleet.update made `ready`, the running sums and `near` anew for each list, however little it said: one change cost a sort of all instances. Change: state/order.py keeps the ready instances by index and by rank with two bisections a change, and makes them in one pass where a list brings more changes than a bisection has steps; state/free.py gives out the indices of instances that are gone, the lowest first as before. The running sums are the same floats, to the last bit: they are added anew from the first changed place on. The policy files are untouched. Checked: hypothesis holds the fleet against the plain algorithm written in tests/state/test_fleet.py.

--- a/linenbridge/state/fleet.py
+++ b/linenbridge/state/fleet.py
@@ -6,16 +6,18 @@
 from __future__ import annotations
 
 from bisect import bisect
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from itertools import accumulate
 from math import exp
 from random import Random
 from zlib import crc32
 
 from linenbridge.interface import GONE, READY, Id, ListEntry
+from linenbridge.state.free import FreeIndices
+from linenbridge.state.order import ReadyOrder
 
 
-def draw(random: Random, items: list[int], sums: list[float]) -> int:
+def draw(random: Random, items: list[int], sums: Sequence[float]) -> int:
     """One item by weight, given the running sums of the weights: `random.choices` less its checks."""
     return items[bisect(sums, random.random() * sums[-1], 0, len(sums) - 1)]
 
@@ -57,40 +59,60 @@
         self.others_mean = 0.0
         self.usual_size, self.listed_at = 0.0, now
         self.rank: list[int] = []
-        self.ready: list[int] = []
-        self.sizes: list[float] = []
-        self.sums: list[float] = []
-        self.near: dict[int, list[int]] = {}
+        self.free = FreeIndices()
+        self.order = ReadyOrder(self.build, self.size, self.state, self.rank)
+        self.ready, self.sums, self.near = self.order.ready, self.order.sums, self.order.near
 
     def update(
         self, entries: Iterable[ListEntry], whole: bool, gap: float, limit: float, used: set[int]
     ) -> None:
         """Take in a list; an instance that a whole list leaves out is gone. A new one takes the index of one
-        that is gone, unless that is among those `used`, so that no run of new ids makes the arrays grow."""
-        named = set()
-        gone = (i for i in range(len(self.state)) if self.state[i] == GONE and i not in used)
+        that is gone, unless that is among those `used`, so that no run of new ids makes the arrays grow.
+        What the list leaves as it was costs a look; only what it changes is put in order anew."""
+        named = set[Id]()
+        self.free.begin(len(self.ids))
+        self.order.begin()
         for entry in entries:
-            named.add(entry.instance)
+            if whole:
+                named.add(entry.instance)
             i = self.index.get(entry.instance)
-            if i is None:
-                if entry.state == GONE:
-                    continue
-                i = self._add(entry.instance, next(gone, None))
+            if i is not None:
+                self._change(i, entry, gap, limit)
+            elif entry.state != GONE:
+                i = self._add(entry.instance, self.free.take(self.state, used))
                 self._reset(i, entry, gap, limit)
-            elif entry.state == READY and (entry.started, entry.build) != (self.started[i], self.build[i]):
-                self._reset(i, entry, gap, limit)
-            self.state[i], self.zone[i], self.cell[i] = entry.state, entry.zone, entry.cell
-            self.size[i] = max(entry.size, 1e-6)
+                self._change(i, entry, gap, limit)
         if whole:
             for instance, i in self.index.items():
                 if instance not in named:
-                    self.state[i] = GONE
-        self.ready = [i for i, state in enumerate(self.state) if state == READY]
-        self.sizes = [self.size[i] for i in self.ready]
-        self.sums = list(accumulate(self.sizes))
-        self.near = {build: [] for build in sorted({self.build[i] for i in self.ready})}
-        for i in sorted(self.ready, key=self.rank.__getitem__):
-            self.near[self.build[i]].append(i)
+                    self._gone(i)
+        self.order.finish()
+        self.free.finish()
+
+    def _change(self, i: int, entry: ListEntry, gap: float, limit: float) -> None:
+        """What the list says of a known instance."""
+        size, listed = self.size[i], self.state[i] == READY
+        stays = listed and entry.state == READY and entry.build == self.build[i]
+        if entry.state == GONE:
+            self._gone(i)
+        elif listed and not stays:
+            self.order.remove(i)
+        if entry.state == READY and (entry.started, entry.build) != (self.started[i], self.build[i]):
+            self._reset(i, entry, gap, limit)
+        self.state[i], self.zone[i], self.cell[i] = entry.state, entry.zone, entry.cell
+        self.size[i] = max(entry.size, 1e-6)
+        if entry.state == READY and not stays:
+            self.order.add(i)
+        elif stays and self.size[i] != size:
+            self.order.resize(i)
+
+    def _gone(self, i: int) -> None:
+        """The instance is there no more; its index may be given to another one."""
+        if self.state[i] == READY:
+            self.order.remove(i)
+        if self.state[i] != GONE:
+            self.free.release(i)
+        self.state[i] = GONE
 
     def _add(self, instance: Id, free: int | None) -> int:
         i = len(self.ids) if free is None else free
@@ -102,7 +124,7 @@
             (self.started, 0), (self.out, 0), (self.busy_since, 0), (self.last_reply, 0), (self.gap, 0.0),
             (self.behind, 0), (self.failing, 0.0), (self.limit, 0.0), (self.cut_at, 0), (self.strikes, 0),
             (self.shun_until, 0), (self.others, 0.0), (self.reported_at, 0), (self.cold_tokens, 0.0),
-            (self.cold_mark, -1.0), (self.rank, crc32(f"{self.number}/{instance}".encode())),
+            (self.cold_mark, -1.0), (self.rank, crc32(f"{self.number}/{instance}".encode()) << 32 | i),
             (self.ids, instance),
         ]  # fmt: skip
         for array, empty in arrays:
@@ -153,6 +175,6 @@
 
     def listed(self, now: int, memory: int) -> None:
         """The size of all that are ready, of late."""
-        ready = sum(self.sizes)
+        ready = self.sums[-1] if self.sums else 0.0
         keep = exp((self.listed_at - now) / memory) if self.usual_size else 0.0
         self.usual_size, self.listed_at = self.usual_size * keep + ready * (1 - keep), now
--- /dev/null
+++ b/tests/state/test_fleet.py
@@ -0,0 +1,185 @@
+"""The fleet's orders and sums, kept change by change, are those that the plain algorithm makes anew."""
+
+from __future__ import annotations
+
+from itertools import accumulate
+from zlib import crc32
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from linenbridge.interface import DRAINING, GONE, READY, ListEntry
+from linenbridge.state import fleet as fleet_module
+from linenbridge.state.fleet import Fleet
+
+GAP, LIMIT = 400_000.0, 3.0
+NUMBER = 3
+
+
+class PlainFleet:
+    """What a list does to a fleet, in one pass over all instances: written for these tests alone."""
+
+    def __init__(self) -> None:
+        self.slots: list[ListEntry] = []  # by index: build and start as of the last reset
+        self.index: dict[int | str, int] = {}
+        self.resets: list[int] = []
+        self.ready: list[int] = []
+        self.sums: list[float] = []
+        self.near: dict[int, list[int]] = {}
+
+    def update(self, entries: list[ListEntry], whole: bool, used: set[int]) -> None:
+        there = len(self.slots)
+        last = -1
+        for entry in entries:
+            i = self.index.get(entry.instance)
+            if i is None and entry.state == GONE:
+                continue
+            if i is None:
+                free = [j for j in range(last + 1, there) if self.slots[j].state == GONE and j not in used]
+                last = free[0] if free else there
+                if free:
+                    i = free[0]
+                    del self.index[self.slots[i].instance]
+                    self.slots[i], self.resets[i] = entry, self.resets[i] + 1
+                else:
+                    i = len(self.slots)
+                    self.slots.append(entry)
+                    self.resets.append(1)
+                self.index[entry.instance] = i
+                continue
+            before = self.slots[i]
+            if entry.state == READY and (entry.started, entry.build) != (before.started, before.build):
+                self.resets[i] += 1
+            else:
+                entry = entry._replace(started=before.started, build=before.build)
+            self.slots[i] = entry
+        if whole:
+            named = {entry.instance for entry in entries}
+            for name, i in self.index.items():
+                if name not in named:
+                    self.slots[i] = self.slots[i]._replace(state=GONE)
+        self.ready = [i for i, slot in enumerate(self.slots) if slot.state == READY]
+        self.sums = list(accumulate(max(self.slots[i].size, 1e-6) for i in self.ready))
+        self.near = {build: [] for build in sorted({self.slots[i].build for i in self.ready})}
+        for i in sorted(self.ready, key=self.rank):
+            self.near[self.slots[i].build].append(i)
+
+    def rank(self, i: int) -> int:
+        return fleet_module.crc32(f"{NUMBER}/{self.slots[i].instance}".encode())
+
+
+def entries(ids: st.SearchStrategy) -> st.SearchStrategy[ListEntry]:
+    sizes = st.one_of(
+        st.sampled_from((1.0, 2.0, 0.1, 0.3, 0.0, -1.0)), st.floats(1e-9, 1e12, allow_subnormal=False)
+    )
+    return st.builds(
+        ListEntry, instance=ids, build=st.integers(1, 4), zone=st.sampled_from("abc"), cell=st.integers(0, 3),
+        state=st.sampled_from((READY, READY, READY, DRAINING, GONE)), size=sizes, started=st.integers(-3, 0),
+    )  # fmt: skip
+
+
+SMALL = entries(st.one_of(st.integers(0, 9), st.sampled_from(("i-1", "i-2"))))
+WIDE = entries(st.integers(0, 90))
+LISTS = st.lists(
+    st.tuples(
+        st.one_of(st.lists(SMALL, max_size=6), st.lists(WIDE, max_size=5), st.lists(WIDE, max_size=90)),
+        st.sampled_from((False, False, False, True)),
+        st.sets(st.integers(0, 30), max_size=4),
+    ),
+    max_size=25,
+)
+
+
+def played(lists: list[tuple[list[ListEntry], bool, set[int]]]) -> tuple[Fleet, PlainFleet]:
+    """Both after these lists, compared after each of them."""
+    fleet, plain = Fleet(NUMBER, 0), PlainFleet()
+    for changes, whole, used in lists:
+        resets = plain.resets[:]
+        for i in range(len(fleet.ids)):
+            fleet.strikes[i] = 1  # a reset clears it
+        fleet.update(changes, whole, GAP, LIMIT, used)
+        plain.update(changes, whole, used)
+        assert fleet.index == plain.index
+        assert fleet.ids == [slot.instance for slot in plain.slots]
+        for name in ("build", "zone", "cell", "state", "started"):
+            assert getattr(fleet, name) == [getattr(slot, name) for slot in plain.slots]
+        assert fleet.size == [max(slot.size, 1e-6) for slot in plain.slots]
+        again = [count > before for count, before in zip(plain.resets, resets, strict=False)]
+        assert [not strikes for strikes in fleet.strikes[: len(resets)]] == again
+        assert fleet.ready == plain.ready
+        assert list(fleet.sums) == plain.sums
+        assert list(fleet.near.items()) == list(plain.near.items())
+        before = fleet.usual_size
+        fleet.listed(1_000, 5_000_000)
+        assert before or fleet.usual_size == sum(fleet.size[i] for i in plain.ready)
+        fleet.usual_size = 0.0
+    return fleet, plain
+
+
+@settings(max_examples=300, deadline=None)
+@given(LISTS)
+def test_any_lists_give_the_orders_sums_and_indices_of_the_plain_algorithm(lists):
+    played(lists)
+
+
+def ready(name: int, build: int = 1, state: int = READY, size: float = 1.0) -> ListEntry:
+    return ListEntry(name, build, "a", 0, state, size, 0)
+
+
+def test_an_index_freed_behind_the_last_one_given_out_waits_for_the_next_list():
+    """Index 1 is gone before index 3 is given out, index 0 after it: only the next list gives 0 away."""
+    fleet, _ = played(
+        [
+            ([ready(n) for n in range(5)], True, set()),
+            ([ready(1, state=GONE), ready(3, state=GONE), ready(4, state=GONE)], False, set()),
+            ([ready(10), ready(11), ready(0, state=GONE), ready(12), ready(13)], False, {3}),
+            ([ready(14), ready(15)], False, set()),
+        ]
+    )
+    assert [fleet.index[name] for name in (10, 11, 12, 13, 14, 15)] == [1, 4, 5, 6, 0, 3]
+
+
+def test_instances_of_equal_rank_stand_by_index(monkeypatch):
+    """Of 200,000 instances some have the same 32 bits."""
+    monkeypatch.setattr(fleet_module, "crc32", lambda name: crc32(name) % 3)
+    played(
+        [
+            ([ready(n, build=1 + n % 2) for n in range(40)], True, set()),
+            *(([ready(n, build=2 - n % 2, size=0.1 * n)], False, set()) for n in range(40)),
+            *(([ready(39 - n, state=GONE), ready(100 + n)], False, set()) for n in range(40)),
+        ]
+    )
+
+
+def test_one_change_touches_only_a_few_of_ten_thousand():
+    """Counted by the looks at ranks: two bisections, no sort."""
+    looks = 0
+
+    class Ranks(list):
+        def __getitem__(self, i):
+            nonlocal looks
+            looks += 1
+            return super().__getitem__(i)
+
+    fleet = Fleet(0, 0)
+    fleet.order.rank = fleet.rank = Ranks()
+    fleet.update([ready(n) for n in range(10_000)], True, GAP, LIMIT, set())
+    looks = 0
+    fleet.update([ready(5_000, state=DRAINING)], False, GAP, LIMIT, set())
+    fleet.update([ready(5_000, size=0.3)], False, GAP, LIMIT, set())
+    assert 0 < looks <= 2 * 16
+
+
+@example(1)
+@example(4_000)
+@given(st.integers(1, 300))
+@settings(max_examples=20, deadline=None)
+def test_free_indices_are_kept_once_however_often_an_instance_comes_and_goes(times):
+    fleet = Fleet(0, 0)
+    fleet.update([ready(n) for n in range(4)], True, GAP, LIMIT, set())
+    for _ in range(times):
+        fleet.update([ready(2, state=GONE)], False, GAP, LIMIT, set())
+        fleet.update([ready(2)], False, GAP, LIMIT, set())
+    assert len(fleet.free.heap) + len(fleet.free.put_off) <= 1
+    fleet.update([ready(9)], False, GAP, LIMIT, set())
+    assert fleet.index[9] == 4 and not fleet.free.heap
