Peers' counts and tenants' rates are bounded; same decisions

Need: Heard.counts kept a row for each peer, life, build and method for ever, and grew with every restart and with whatever a peer cared to send; Parts held a rate for every tenant with a share, 350,000 of them at a start. Change: a peer's counts are those of its present life and of its highest builds; of earlier lives the tokens are known, so that what arrives late of them counts nothing. Peers, builds and lives are bounded by the caller: as many peers as there are gateways (8 at the least), 4 builds, 16 lives. A tenant's rate is kept from its first arrival until it is under 2^-54, where one more arrival makes it 1.0 to the last bit either way, and of 16,384 tenants at most; past that the part is too low by what was left of the rate over that of all, at most.

--- a/linenbridge/choice/placing.py
+++ b/linenbridge/choice/placing.py
@@ -19,7 +19,7 @@
 from linenbridge.state.counters import Parts
 from linenbridge.state.rpcs import Rpc
 
-TENANT_MEMORY, OVER_SHARE = 5 * SECOND, 1.15
+TENANT_MEMORY, TENANTS_MOST, OVER_SHARE = 5 * SECOND, 1 << 14, 1.15
 FULL_MOST, IDLE = 2, 250_000
 LIST_RETRY, LIST_RETRY_MOST = 300_000, 4 * SECOND
 
@@ -33,7 +33,7 @@
         self.passing: Iterator[tuple] | None = None
         self.watch_at: int | None = now if self.allow.asks_for_list else None
         self.sweep_at, self.watch_wait = now, LIST_RETRY
-        self.tenants = Parts(TENANT_MEMORY, start.tenant_shares)
+        self.tenants = Parts(TENANT_MEMORY, start.tenant_shares, TENANTS_MOST)
 
     def on_list(self, now: int, entries: list[ListEntry], *, whole: bool, answers: bool) -> None:
         self.fleet.update(entries, whole, GAP_START * self.sweep, LIMIT_START, self.rpcs.instances())
--- a/linenbridge/choice/telling.py
+++ b/linenbridge/choice/telling.py
@@ -12,16 +12,17 @@
 from linenbridge.choice.votes import Votes
 from linenbridge.interface import ON_TRIAL, RELEASED, SECOND, TELL, Id, Startup
 from linenbridge.state.counters import Counts
-from linenbridge.state.peers import Heard, pack
+from linenbridge.state.peers import Heard, HeardBounds, pack
 
-TELL_EVERY, PEERS = 1 * SECOND, 8
+TELL_EVERY, PEERS, BUILDS_HEARD, LIVES_HEARD = 1 * SECOND, 8, 4, 16
 
 
 class Telling(Votes):
     def __init__(self, start: Startup, seed: int, now: int) -> None:
         super().__init__(start, seed, now)
         self.token, self.tell_at = self.random.randrange(1 << 16), now
-        self.heard = Heard(len(self.methods))
+        bounds = HeardBounds(max(PEERS, self.allow.gateways), BUILDS_HEARD, LIVES_HEARD)
+        self.heard = Heard(len(self.methods), bounds)
 
     def on_tally(
         self, now: int, build: int, method: str, picks: int, failed: int, took: int, ended: int
--- a/tests/days.py
+++ b/tests/days.py
@@ -2,13 +2,15 @@
 
 Owns what happens around one gateway there: RPCs of several methods and tenants, picks that end in every way,
 lists, stages, votes that are refused, tallies, peers' words and flags. It asserts nothing; it must never look
-at the module's state. `python -m tests.days SEEDS` prints one digest of the records of that many days.
+at the module's state. `python -m tests.days SEEDS` prints one digest of the records of that many days, and
+`python -m tests.days SEEDS tenants` that of days on which tenants have shares.
 """
 
 from __future__ import annotations
 
 import hashlib
 import sys
+from dataclasses import replace
 from random import Random
 
 from linenbridge import interface as face
@@ -18,15 +20,18 @@
 from linenbridge.state.peers import pack
 from tests.helpers import LONG_AGO, MS, startup
 
+NAMES = ("", "north", "south")
+SHARES = {f"tenant{n}": 0.002 * n for n in range(30)}
 OUTCOMES = (face.OK, face.ERROR, face.FULL, face.TIMED_OUT, face.UNREACHED, face.BROKEN, face.SPOILT)
 
 
 class Day:
-    """One gateway among `gateways`, one day; `lines` is the record."""
+    """One gateway among `gateways`, one day; `lines` is the record. `shares` are those of further tenants."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, shares: dict[str, float] | None = None) -> None:
         self.dice = Random(f"day {seed}")
-        self.start = self._settings()
+        self.start = replace(self._settings(), tenant_shares=shares or {})
+        self.tenants = (*NAMES, *self.start.tenant_shares)
         self.gateways = self.start.allowances.gateways
         self.now, self.count, self.lines = 0, 0, list[str]()
         self.gateway = Choice(self.start, seed, 0)
@@ -79,7 +84,7 @@
         work = self.dice.choice((None, 5, 50))
         ttl = self.dice.randrange(300 * MS, 4 * SECOND)
         tenant, key = (
-            self.dice.choice(("", "north", "south")),
+            self.dice.choice(self.tenants),
             self.dice.choice((None, self.dice.randrange(40))),
         )
         self.open[rpc] = 0
@@ -151,15 +156,15 @@
         return 0
 
 
-def digest(seeds: int, steps: int = 1200) -> tuple[str, int]:
+def digest(seeds: int, steps: int = 1200, shares: dict[str, float] | None = None) -> tuple[str, int]:
     """Of the records of days 0 to `seeds`, and how many lines they hold."""
     found, lines = hashlib.sha256(), 0
     for seed in range(seeds):
-        record = Day(seed).play(steps)
+        record = Day(seed, shares).play(steps)
         found.update("\n".join(record).encode())
         lines += len(record)
     return found.hexdigest(), lines
 
 
 if __name__ == "__main__":
-    print(*digest(int(sys.argv[1])))
+    print(*digest(int(sys.argv[1]), shares=SHARES if sys.argv[2:] == ["tenants"] else None))
