--- a/linenbridge/distribution/messages.py
+++ b/linenbridge/distribution/messages.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from zlib import crc32
+
+from msgspec import Raw, Struct
 
 from linenbridge.distribution.changes import Change, Position, Version
 
@@ -23,7 +25,8 @@
 class Prepared(Struct, array_like=True, frozen=True, tag="prepared"):
     """The relay's promise, on its disk before this leaves. `last` is its newest entry, `committed` the
     newest that it knows a majority to have. `code` is not empty where the promise is refused; `epoch` is
-    then the one that it holds to."""
+    then the one that it holds to. `life` is another number since the relay may last have forgotten
+    something; it is a `member` where its committed log names this life."""
 
     region: str
     epoch: int
@@ -31,6 +34,8 @@
     last: Version
     committed: int
     code: str = ""
+    life: int = 0
+    member: bool = False
 
 
 class Fetch(Struct, array_like=True, frozen=True, tag="fetch"):
@@ -42,18 +47,20 @@
 
 
 class Fetched(Struct, array_like=True, frozen=True, tag="fetched"):
-    """A part of a relay's log, in order; `more` where it goes on."""
+    """A part of a relay's log behind `after`, in order; `more` where it goes on."""
 
     region: str
     epoch: int
     relay: str
     changes: list[Change]
     more: bool
+    after: int = 0
 
 
 class Append(Struct, array_like=True, frozen=True, tag="append"):
     """Entries that follow on `previous`; none of them: a heartbeat. `committed` is the newest sequence that
-    a majority has on disk."""
+    a majority has on disk. Committed entries that newer ones of their key have replaced may be left out;
+    `committed` then stays behind them until the relay has all the rest."""
 
     region: str
     epoch: int
@@ -64,13 +71,15 @@
 
 class Appended(Struct, array_like=True, frozen=True, tag="appended"):
     """The relay's log agrees with the publisher's up to `upto`, on disk. With a code it does not: `upto` is
-    then the newest sequence that may agree, `epoch` the one that the relay holds to."""
+    then the newest sequence that surely agrees, `epoch` the one that the relay holds to. `life` as in
+    Prepared."""
 
     region: str
     epoch: int
     relay: str
     upto: int
     code: str = ""
+    life: int = 0
 
 
 # ---- relays and their followers (gateways, and relays of other regions) ------------------------------------
@@ -98,7 +107,10 @@
 
 class Batch(Struct, array_like=True, frozen=True, tag="batch"):
     """All keys whose newest version lies behind `after`, up to `upto`, each at that version. `digest` is
-    that of the relay's whole table of the region, given where `upto` is its head. No changes: a heartbeat."""
+    that of the relay's whole table of the region, given where `upto` is its head. No changes: a heartbeat.
+    `horizon`: a follower behind it asks for ranges, by `Digests`. `checksum` is `batch_checksum`'s.
+    `number` counts the session's `Batch` and `Whole` messages from 1, so that a lost, repeated or reordered
+    one is noticed."""
 
     session: int
     region: str
@@ -106,12 +118,31 @@
     upto: Version
     changes: list[Change]
     digest: int | None = None
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
+
+
+class EncodedBatch(Struct, array_like=True, frozen=True, tag="batch"):
+    """A `Batch` whose changes are encoded already, once for all followers at a position: the same bytes on
+    the link, where it is decoded as a `Batch`."""
+
+    session: int
+    region: str
+    after: int
+    upto: Version
+    changes: Raw
+    digest: int | None = None
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
 
 
 class Whole(Struct, array_like=True, frozen=True, tag="whole"):
     """A part of one range of a region's keys, complete at `upto` with its `last` part: what the range does
-    not name is gone. `final` stands in the last part of the last range that the relay sends: then the
-    follower is at `upto`."""
+    not name is gone. It may name newer versions than `upto`, which is the same in all ranges of a transfer.
+    `final` stands in the last part of the last range that the relay sends: then the follower is at `upto`.
+    `horizon` is the relay's, `checksum` is `whole_checksum`'s, `number` counts as in `Batch`."""
 
     session: int
     region: str
@@ -121,11 +152,30 @@
     last: bool
     final: bool
     changes: list[Change]
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
+
+
+class EncodedWhole(Struct, array_like=True, frozen=True, tag="whole"):
+    """A `Whole` whose changes are encoded already: the same bytes on the link."""
+
+    session: int
+    region: str
+    upto: Version
+    range: int
+    part: int
+    last: bool
+    final: bool
+    changes: Raw
+    horizon: int = 0
+    checksum: int = 0
+    number: int = 0
 
 
 class Digests(Struct, array_like=True, frozen=True, tag="digests"):
-    """The digests of ranges, from `first` on, 8 bytes each: by a follower of its own, so that only what
-    differs is transferred."""
+    """A follower asks for ranges: those whose digests differ from its own, which it sends from `first` on, 8
+    bytes each, the highest byte first; all of them where it sends none. `at` is its position."""
 
     session: int
     region: str
@@ -136,12 +186,15 @@
 
 
 class Progress(Struct, array_like=True, frozen=True, tag="progress"):
-    """How far a follower is: on change, and as its heartbeat. `below` sums up its own followers."""
+    """How far a follower is: on change, and as its heartbeat. `below` sums up its own followers. `received`
+    counts the session's `Batch` and `Whole` messages that it is done with. Session 0: the follower lives and
+    follows another relay."""
 
     follower: str
     session: int
     positions: list[Position]
     below: list[Summary]
+    received: int = 0
 
 
 class Summary(Struct, array_like=True, frozen=True):
@@ -173,7 +226,8 @@
 
 class Published(Struct, array_like=True, frozen=True, tag="published"):
     """What became of it: `accepted` (a majority has it on disk), `in_force` (everywhere that is reached;
-    those that are not are named), or `refused` with a code."""
+    those that are not are named), `refused` with a code (it is kept nowhere and never will be), or
+    `unconfirmed` (it may be kept; `accepted` may still follow)."""
 
     request: int
     state: str
@@ -183,6 +237,18 @@
     unreached_count: int = 0
 
 
+def batch_checksum(region: str, after: int, upto: Version, encoded: bytes) -> int:
+    """Over a batch's place in the log and its encoded list of changes, so that a cut or exchanged list is
+    noticed; each change has a checksum of its own besides."""
+    return crc32(encoded, crc32(f"{region} {after} {upto.epoch} {upto.sequence}".encode()))
+
+
+def whole_checksum(region: str, upto: Version, index: int, part: int, last: bool, encoded: bytes) -> int:
+    """The same for a part of a range."""
+    place = f"{region} {upto.epoch} {upto.sequence} {index} {part} {last:d}"
+    return crc32(encoded, crc32(place.encode()))
+
+
 Message = (
     Prepare | Prepared | Fetch | Fetched | Append | Appended
     | Follow | Refused | Batch | Whole | Digests | Progress | Publish | Published
--- a/linenbridge/fleet/store/promises.py
+++ b/linenbridge/fleet/store/promises.py
@@ -1,8 +1,9 @@
-"""A seat's promises on disk: one file of an embedded store (SQLite by `apsw`), written before the seat
+"""An acceptor's records on disk, in one file of an embedded store (SQLite by `apsw`), written before it
 answers.
 
-Owns the file and every transaction on it; each row carries a sum over itself. It must never repair or guess:
-what can't be read whole is said, and the seat comes back as one without memory or not at all.
+Owns the file and every transaction on it; each row carries a checksum. It must never repair or guess:
+what can't be read is reported, and the acceptor recovers as one without records, or does not start
+granting.
 """
 
 from __future__ import annotations
@@ -13,9 +14,9 @@
 
 import apsw
 
+from linenbridge.fleet.leases.acceptor import Kept
 from linenbridge.fleet.leases.errors import StoreTorn, StoreUnusable
-from linenbridge.fleet.leases.seat import Kept
-from linenbridge.fleet.leases.words import Place
+from linenbridge.fleet.leases.messages import PlaceRecord
 
 FORM = 1
 LOST = (
@@ -35,10 +36,10 @@
 
 
 class Promises:
-    """One seat's file. Every call may raise StoreUnusable; `read` StoreTorn too."""
+    """One acceptor's file. Every call may raise StoreUnusable; `read` may raise StoreTorn too."""
 
-    def __init__(self, path: str, seat: str) -> None:
-        self.path, self.seat = path, seat
+    def __init__(self, path: str, acceptor: str) -> None:
+        self.path, self.acceptor = path, acceptor
         try:
             self.connection = apsw.Connection(path)
             self.connection.set_busy_timeout(0)
@@ -57,8 +58,8 @@
         return StoreUnusable(f"{type(error).__name__}: {error}", self.path)
 
     def read(self) -> Kept:
-        """What the file holds; a new file holds nothing, and is written to once, so that a disk that can't be
-        is seen before anything is promised."""
+        """The content of the file. A new file is written to once, so that a disk that can't be written is
+        noticed before anything is granted."""
         try:
             (form,), *_ = self._do("pragma user_version")
             if form not in (0, FORM):
@@ -69,13 +70,13 @@
                 self._do(f"pragma user_version={FORM}")
                 self.connection.execute(TABLES)
                 self._do("insert or replace into fact values ('opened', 1, ?)", (_sum("opened", 1),))
-            facts, places = dict[str, int](), list[Place]()
+            facts, places = dict[str, int](), list[PlaceRecord]()
             for name, value, found in self._do("select name, value, sum from fact order by name"):
                 self._whole(found, name, value)
                 facts[name] = value
             for *row, found in self._do("select * from place order by task, place"):
                 self._whole(found, *row)
-                places.append(Place(*row, 0))
+                places.append(PlaceRecord(*row, 0))
         except LOST as error:
             raise self._unusable(error) from None
         except apsw.Error as error:
@@ -90,7 +91,8 @@
             raise StoreTorn(f"the row of {fields[0]} is not as it was written", self.path)
 
     def keep(self, rows: list[tuple], facts: dict[str, int]) -> None:
-        """For good, or StoreUnusable: then nothing of it counts as kept."""
+        """Store rows and facts durably in one transaction, or raise StoreUnusable: then none of them is
+        stored."""
         try:
             with self.connection:
                 for row in rows:
@@ -106,22 +108,22 @@
 
 
 class NoPromises:
-    """Where a seat has no disk that lasts: it comes back as one without memory."""
+    """For an acceptor without a disk: it recovers after each start as one without records."""
 
     def read(self) -> Kept:
         return Kept()
 
     def keep(self, rows: list[tuple], facts: dict[str, int]) -> None:
-        """Nothing outlives the process."""
+        """Nothing is stored."""
 
     def close(self) -> None: ...
 
 
-def promises(path: str, seat: str) -> Promises | NoPromises:
-    """The seat's store; "" is none."""
+def promises(path: str, acceptor: str) -> Promises | NoPromises:
+    """The acceptor's store; NoPromises if `path` is empty."""
     if not path:
         return NoPromises()
     folder = os.path.dirname(path)
     if folder and not os.path.isdir(folder):
         raise StoreUnusable(f"no folder {folder}", path)
-    return Promises(path, seat)
+    return Promises(path, acceptor)
