Tests: a pick's told time is at most what its client has left, none begins after its client left

The random runs of tests/test_rules.py now have clients that leave and check the told time of every pick; tests/net/test_picks.py shows that a pick which waited for its connection tells what is left when it is sent. Each was seen to fail with a breach planted: 0.3 s more told, on_gone without effect, the time told as decided.

--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -300,3 +300,10 @@
         case "timed out":
             bench.turn(0.51)
     assert line.ended and bench.loop.open["id1"].out == 0
+
+
+def test_a_pick_that_waited_for_its_connection_tells_the_time_left_when_it_is_sent(bench):
+    bench.send(bench.client(), "id1")
+    bench.say((face.PICK, "id1", "s-1", 500_000))
+    bench.turn(0.2)
+    assert b"d=300" in bench.up().taken()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -59,6 +59,8 @@
         for item in [item for item in self.out if item[0] <= self.now]:
             self.out.remove(item)
             self.answer(item[1], item[2])
+        if self.open and self.dice.random() < 0.1:
+            self.leave(self.dice.choice(list(self.open)))
         if self.dice.random() < 0.04:
             self.change_fleet()
         if self.dice.random() < 0.02:
@@ -82,6 +84,12 @@
         self.open[name] = {"method": method, "deadline": self.now + ttl, "key": key, "picks": []}
         self.gateway.on_rpc(self.now, name, method, ttl, None, "", key)
 
+    def leave(self, name: str) -> None:
+        """Its client closes its connection: picks out end as they do, and no further one begins."""
+        del self.open[name]
+        self.closed.add(name)
+        self.gateway.on_gone(self.now, name)
+
     def answer(self, name: str, number: int) -> None:
         rpc = self.open.get(name)
         outcome = self.dice.choices(
@@ -111,6 +119,7 @@
         method, picks = self.methods[rpc["method"]], rpc["picks"]
         assert row.state == face.READY, "rule 3: a pick at an instance that drains or is gone"
         assert time_out > 0 and len(picks) < self.start.allowances.max_picks
+        assert self.now + time_out <= rpc["deadline"], "rule 1: told more time than is left"
         if not self.start.allowances.second_copies:
             assert all(pick[2] for pick in picks), "rule 2: two picks out at once"
         ran = [pick for pick in picks if pick[2] not in PROVES_NO_RUN]
