--- a/tests/scale/measure/module.py
+++ b/tests/scale/measure/module.py
@@ -56,9 +56,10 @@
 def rpc_time(instances: int) -> float:
     """Microseconds of processor time for one RPC from request to answer, sweeps included."""
     traffic = Traffic(gateway(instances))
-    for _ in range(1_000):
+    calls, repeats = (2_000, 5) if instances < 2_000 else (400, 3)
+    for _ in range(calls):
         traffic.one()
-    return processor_time(traffic.one, 2_000 if instances < 2_000 else 500)
+    return processor_time(traffic.one, calls, repeats)
 
 
 def rows() -> list[Slope]:
--- a/tests/scale/measure/peers.py
+++ b/tests/scale/measure/peers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from linenbridge.choice.telling import BUILDS_HEARD, LIVES_HEARD
 from linenbridge.state import peers as peers_module
 from linenbridge.state.counters import Counts
-from linenbridge.state.peers import Heard, pack
+from linenbridge.state.peers import Heard, HeardBounds, pack
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
 from tests.scale.slopes import Slope, record, slope
@@ -12,7 +13,8 @@
 ROLE = "gateway: release decisions"
 MEASURED_BY = "tests.scale.measure.peers"
 SIZES = (32, 320, 3_200, 32_000)
-METHODS, BUILDS = 3, (1, 2)
+METHODS, BUILDS, PEERS = 3, (1, 2), 3_200
+BOUNDS = HeardBounds(PEERS, BUILDS_HEARD, LIVES_HEARD)
 
 
 def words(token: int, picks: int = 20) -> bytes:
@@ -25,9 +27,9 @@
 
 def told(lives: int) -> Heard:
     """What a gateway has heard after that many lives of peers; each told once."""
-    heard = Heard(METHODS)
+    heard = Heard(METHODS, BOUNDS)
     for life in range(lives):
-        for _ in heard.fresh(life % 3_200, words(life & 0xFFFF)):
+        for _ in heard.fresh(life % PEERS, words(life & 0xFFFF)):
             pass
     return heard
 
@@ -40,7 +42,7 @@
 
     def take() -> None:
         number = next(peer)
-        for _ in heard.fresh(number // len(messages) % 3_200, messages[number % len(messages)]):
+        for _ in heard.fresh(number // len(messages) % PEERS, messages[number % len(messages)]):
             pass
 
     return processor_time(take, 1_000)
--- a/tests/scale/measure/tenants.py
+++ b/tests/scale/measure/tenants.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+
+from linenbridge.choice.placing import TENANTS_MOST
 from linenbridge.state import counters as counters_module
 from linenbridge.state.counters import Parts
 
@@ -18,21 +21,34 @@
     return [f"tenant-{number:07d}" for number in range(count)]
 
 
+def seen(shares: dict[str, float]) -> Parts:
+    """The rates after one request of every tenant."""
+    parts = Parts(MEMORY, shares, TENANTS_MOST)
+    for name in shares:
+        parts.part(1_000_000, name)
+    return parts
+
+
+def shares(count: int) -> dict[str, float]:
+    """The settings' table of shares."""
+    return {name: 1.0 / count for name in names(count)}
+
+
 def count_time(count: int) -> float:
-    """Microseconds to count one request of a named tenant."""
-    parts, asked = Parts(MEMORY, names(count)), names(count)[count // 2]
-    return processor_time(lambda: parts.part(1_000_000, asked), 5_000)
+    """Microseconds to count one request of a tenant, each of another one than the last 997."""
+    parts, asked = seen(shares(count)), itertools.cycle(names(count)[: min(count, 997)])
+    return processor_time(lambda: parts.part(1_000_000, next(asked)), 5_000)
 
 
 def shares_bytes(count: int) -> int:
     """Bytes of the settings' table of shares, names included: what a start hands to the module."""
-    return held_bytes(lambda: {name: 1.0 / count for name in names(count)})
+    return held_bytes(lambda: shares(count))
 
 
 def rates_bytes(count: int) -> int:
-    """Bytes of the rates, the names not counted: they are those of the table of shares."""
-    given = names(count)
-    return held_bytes(lambda: Parts(MEMORY, given))
+    """Bytes of the rates once every tenant was seen, the names not counted: they are those of the shares."""
+    given = shares(count)
+    return held_bytes(lambda: seen(given))
 
 
 def rows() -> list[Slope]:
--- a/tests/scale/page/__main__.py
+++ b/tests/scale/page/__main__.py
@@ -10,14 +10,12 @@
 import sys
 from pathlib import Path
 
-import msgspec
-
 from tests.scale import slopes as slopes_file
 from tests.scale.page import render
+from tests.scale.page.families import load_outcomes
 from tests.scale.page.size import load_size
 
-DOCS = Path(__file__).parents[3] / "docs"
-PAGE, FAMILIES = DOCS / "CAPACITY.md", DOCS / "capacity" / "families.json"
+PAGE = Path(__file__).parents[3] / "docs" / "CAPACITY.md"
 
 
 class MissingPartError(ValueError):
@@ -34,14 +32,14 @@
 def parts() -> dict[str, str]:
     """The generated parts by name."""
     size, slopes = load_size(), slopes_file.load()
-    rows = render.all_rows(size, slopes)
-    families = msgspec.json.decode(FAMILIES.read_bytes()) if FAMILIES.exists() else []
+    outcomes = load_outcomes(size)
+    rows = render.all_rows(size, slopes, outcomes)
     return {
         "size": render.size_table(size),
         "first": render.most_over(rows),
         "roles": render.role_tables(rows),
         "comparison": render.comparison(rows),
-        "families": render.families(families),
+        "families": render.families(outcomes.found),
         "slopes": render.slope_table(slopes),
     }
 
--- a/tests/scale/page/control.py
+++ b/tests/scale/page/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tests.scale.page.families import Outcomes
 from tests.scale.page.figures import Costs, Figure, Row
 from tests.scale.page.size import Size
 
@@ -14,10 +15,10 @@
 ROLES = (SEAT, DISTRIBUTOR, PUBLISHER, DISCOVERY, PLATFORM)
 
 
-def rows(size: Size, costs: Costs) -> list[Row]:
+def rows(size: Size, costs: Costs, outcomes: Outcomes) -> list[Row]:
     return [
         *seat(size, costs),
-        *distributor(size, costs),
+        *distributor(size, costs, outcomes),
         *publisher(size, costs),
         *discovery(size, costs),
         *platform(size, costs),
@@ -65,7 +66,7 @@
     ]  # fmt: skip
 
 
-def distributor(size: Size, costs: Costs) -> list[Row]:
+def distributor(size: Size, costs: Costs, outcomes: Outcomes) -> list[Row]:
     changes = size.configuration_changes_a_second + size.list_changes_a_second
     keys = size.fleet.services + size.configuration.tenants + size.fleet.instances
     followers, relay = size.fleet.gateways / size.budget.relays, "relay"
@@ -113,9 +114,22 @@
             burst_is="a gateway whose store is gone",
         ),
         Row(
-            role=DISTRIBUTOR, what="a change in force everywhere", unit="s",
-            mechanism="publisher, relays, followers: see the scale tests below", ordinary=None,
-            budget=size.configuration.in_force_s,
+            role=DISTRIBUTOR, what="a change in force everywhere, at the most", unit="s",
+            mechanism="publisher, relays, followers, off in `run`: the scale tests below",
+            ordinary=outcomes.steady("max_ms", 1e-3), burst=outcomes.faulty("max_ms", 1e-3),
+            burst_is="a fault of the scale tests", budget=size.configuration.in_force_s,
+        ),
+        Row(
+            role=DISTRIBUTOR, what="processor time at a gateway, its link included", unit="core",
+            mechanism="`distribution/follower.py`, `view/`, off in `run`: the scale tests below",
+            ordinary=outcomes.steady("gateway_share"), burst=outcomes.faulty("gateway_share"),
+            burst_is="a fault of the scale tests", budget=size.budget.core_share,
+        ),
+        Row(
+            role=DISTRIBUTOR, what="bytes in at a gateway", unit="bytes/s",
+            mechanism="`distribution/follower.py`, off in `run`: the scale tests below",
+            ordinary=outcomes.steady("bytes_in"), burst=outcomes.faulty("bytes_in"),
+            burst_is="a fault of the scale tests", budget=size.budget.bytes_a_second,
         ),
         Row(
             role=DISTRIBUTOR, what="changes that one region lacks when it meets the others again",
--- a/tests/scale/page/render.py
+++ b/tests/scale/page/render.py
@@ -5,8 +5,9 @@
 from collections.abc import Sequence
 
 from tests.scale.page import control, gateway
+from tests.scale.page.families import Outcome, Outcomes
 from tests.scale.page.figures import KNOWN_WORDS, Costs, Figure, Row
-from tests.scale.page.size import Size
+from tests.scale.page.size import MEGABYTE, Size
 from tests.scale.slopes import Slope
 
 THOUSANDS = ("", "k", "M", "G", "T")
@@ -14,10 +15,10 @@
 LARGE, MANY = 10.0, 1_000.0  # from these on a factor is written without a decimal, and with separators
 
 
-def all_rows(size: Size, slopes: list[Slope]) -> list[Row]:
+def all_rows(size: Size, slopes: list[Slope], outcomes: Outcomes) -> list[Row]:
     """The rows of every role in the page's order."""
     costs = Costs(slopes)
-    return [*gateway.rows(size, costs), *control.rows(size, costs)]
+    return [*gateway.rows(size, costs), *control.rows(size, costs, outcomes)]
 
 
 # ---- quantities ----------------------------------------------------------------------------------------
@@ -223,9 +224,33 @@
     return table(("", ""), lines)
 
 
-def families(found: list[dict[str, object]]) -> str:
+FAMILY_HEADS = (
+    "family", "gateways, relays, regions", "seed", "changes", "in force p50, p99, most",
+    "a gateway: bytes in, out", "a gateway: core, memory", "a relay: core, memory", "a publisher: core",
+    "notes", "digests", "breaches",
+)  # fmt: skip
+
+
+def families(outcomes: list[Outcome]) -> str:
     """The closing lines of the scale tests' families."""
-    if not found:
-        return "No family has been run at this size yet.\n"
-    lines = [[str(line[name]) for name in found[0]] for line in found]
-    return table(list(found[0]), lines)
+    if not outcomes:
+        return "No family has been run yet.\n"
+    return table(FAMILY_HEADS, [_family_cells(outcome) for outcome in outcomes])
+
+
+def _family_cells(outcome: Outcome) -> list[str]:
+    times = (outcome.p50_ms, outcome.p99_ms, outcome.max_ms)
+    return [
+        outcome.family,
+        f"{number(outcome.gateways)}, {outcome.relays}, {outcome.regions}",
+        str(outcome.seed),
+        number(outcome.changes),
+        ", ".join(seconds(time / 1000) for time in times),
+        f"{byte_count(outcome.bytes_in)}/s, {byte_count(outcome.bytes_out)}/s",
+        f"{number(outcome.gateway_share * 100)}%, {byte_count(outcome.gateway_mb * MEGABYTE)}",
+        f"{number(outcome.relay_share * 100)}%, {byte_count(outcome.relay_mb * MEGABYTE)}",
+        f"{number(outcome.publisher_share * 100)}%",
+        ", ".join(f"{name} {seconds(value)}" for name, value in outcome.notes.items()) or "-",
+        "equal" if outcome.equal else "**unequal**",
+        str(outcome.breaches),
+    ]
--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -11,6 +11,7 @@
 from tests.scale.fits import FORMS, fitted
 from tests.scale.page import control, gateway, render
 from tests.scale.page.__main__ import PAGE, MissingPartError, filled, parts
+from tests.scale.page.families import Outcome, Outcomes
 from tests.scale.page.figures import Costs, Figure, Known, Row, cost_at
 from tests.scale.page.size import load_size
 
@@ -48,13 +49,18 @@
     assert slope.state in slopes_file.STATES
 
 
+def all_rows(slopes: list[slopes_file.Slope]) -> list[Row]:
+    size = load_size()
+    return render.all_rows(size, slopes, Outcomes([], size))
+
+
 def test_every_role_has_its_rows():
-    rows = render.all_rows(load_size(), SLOPES)
+    rows = all_rows(SLOPES)
     assert {row.role for row in rows} == {*gateway.ROLES, *control.ROLES}
 
 
 def test_without_slopes_every_row_stays_and_says_that_it_was_not_measured():
-    with_slopes, without = (render.all_rows(load_size(), found) for found in (SLOPES, []))
+    with_slopes, without = (all_rows(found) for found in (SLOPES, []))
     assert [(row.role, row.what) for row in without] == [(row.role, row.what) for row in with_slopes]
     unmeasured = [row for row in without if row.ordinary is None and row.burst is None]
     assert unmeasured and all(row.known == "**not measured**" for row in unmeasured)
@@ -111,3 +117,21 @@
     slopes_file.merge([slower], path)
     assert slopes_file.load(path) == [slower, second]
     assert "r | a" in capsys.readouterr().out
+
+
+def test_only_outcomes_at_the_size_stand_for_it():
+    size = load_size()
+    small = Outcome(
+        family="steady", gateways=60, relays=6, regions=2, seed=1, changes=10, pairs=600, p50_ms=300.0,
+        p99_ms=600.0, max_ms=900.0, bytes_in=500.0, bytes_out=90.0, gateway_share=0.001, relay_share=0.1,
+        publisher_share=0.02, gateway_mb=30.0, relay_mb=60.0, equal=True, breaches=0,
+    )  # fmt: skip
+    full = msgspec.structs.replace(
+        small, gateways=size.fleet.gateways, relays=size.budget.relays, max_ms=1_900.0
+    )
+    killed = msgspec.structs.replace(full, family="relay-killed", max_ms=3_700.0)
+    assert Outcomes([small], size).steady("max_ms") is None
+    outcomes = Outcomes([small, full, killed], size)
+    assert outcomes.steady("max_ms") == Figure(1_900.0, Known.MEASURED)
+    assert outcomes.faulty("max_ms", 2.0) == Figure(7_400.0, Known.MEASURED)
+    assert render.families([small]).count("\n") == 3
