--- a/tests/scale/measure/instances.py
+++ b/tests/scale/measure/instances.py
@@ -13,6 +13,7 @@
 MEASURED_BY = "tests.scale.measure.instances"
 SIZES = (20, 200, 2_000, 20_000, 200_000)
 ZONES = 19
+LONG_AGO = -1_000_000_000_000  # microseconds; none of them is cold
 GAP, LIMIT = 400_000.0, 3.0  # as the module passes them in
 
 
@@ -21,7 +22,7 @@
     return [
         ListEntry(
             f"i-{number:06d}", 2 if number % 10 == 0 else 1, f"zone-{number % ZONES}", number % 400, READY,
-            1.0, -1_000_000 - number,
+            1.0, LONG_AGO - number,
         )
         for number in range(count)
     ]  # fmt: skip
--- a/tests/scale/measure/view.py
+++ b/tests/scale/measure/view.py
@@ -1,14 +1,17 @@
 """The view of `linenbridge/distribution/view` beside the tables of today: changes, look-ups, memory, restart.
 
-Every size counts the keys of one kind, spread over the services as the stated size has them. Route sets are
-checked once and put in under every service's name, as all have the same rules; a change that is timed is
-checked as any other.
+Every size counts the keys of one kind, spread over the services as the stated size has them. Names, hosts,
+paths and times are drawn by hash, so that they compress no better than those of a real installation. A few
+route sets are checked once and put in under the services' names in turn; a change that is timed is checked
+as any other.
 """
 
 from __future__ import annotations
 
 import tempfile
 from collections.abc import Callable, Iterator
+from functools import cache
+from hashlib import blake2b
 from pathlib import Path
 
 import msgspec
@@ -26,12 +29,13 @@
 from linenbridge.distribution.decisions import Apply
 from linenbridge.distribution.view import view as view_module
 from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
+from linenbridge.distribution.view.values import Value
 from linenbridge.distribution.view.view import View
 from linenbridge.interface import DRAINING, READY
 from linenbridge.routes.table import Request
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.measure.routes import LONGEST, METHODS, RULES_A_SERVICE, VERBS, text
+from tests.scale.measure.routes import LONGEST, METHODS, RULES_A_SERVICE, VERBS
 from tests.scale.slopes import Slope, record, slope
 
 MEASURED_BY = "tests.scale.measure.view"
@@ -44,7 +48,8 @@
 INSTANCES_A_SERVICE, ROUTES_AN_INSTANCE, TENANTS_AN_INSTANCE, ZONES = 22, 1.15, 1.75, 19
 BATCH = 256
 MADE_SHARE = 0.5
-RULES = text(RULES_A_SERVICE).encode()
+SETS = 64  # different sets of routes
+MONTH = 30 * 86_400_000  # milliseconds
 
 
 class Author:
@@ -58,25 +63,51 @@
         return sealed(REGION, Version(1, self.sequence), kind, name, value)
 
 
+def drawn(what: str, number: int) -> int:
+    """A number of 64 bits that depends on its arguments alone."""
+    return int.from_bytes(blake2b(f"{what} {number}".encode(), digest_size=8).digest(), "big")
+
+
+def resource(which: int, number: int) -> str:
+    """The path's part that one rule of a set asks for."""
+    return f"{drawn('resource', which * RULES_A_SERVICE + number) & 0xFFFFFFFFFF:010x}"
+
+
+@cache
+def rules(which: int, soft: int = 0) -> bytes:
+    """One of the sets: its rules differ in path, verb, method and soft deadline, in milliseconds."""
+    lines = []
+    for number in range(RULES_A_SERVICE):
+        chance = drawn("rule", which * RULES_A_SERVICE + number)
+        lines.append(
+            f'route r{resource(which, number)[:4]}-{number} {{ when authority is "{service(which)}"'
+            f' and path starts "/v1/{resource(which, number)}/" and verb is "{VERBS[chance % 2]}"'
+            f' method "{METHODS[chance % 3].name}" soft {soft or 50 + chance % 900}ms'
+            f' tenant header("x-tenant") }}'
+        )
+    return "\n".join(lines).encode()
+
+
 def service(number: int) -> str:
     return f"service-{number:04d}.internal"
 
 
 def instance_value(number: int, state: int = READY) -> bytes:
+    chance = drawn("instance", number)
     value = InstanceValue(
-        363, f"zone-{number % ZONES}", str(number % 400), state, 1.0, 1_700_000_000_000 + number,
-        f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}", 8080,
+        363, f"zone-{chance % ZONES}", str(chance % 400), state, 1.0, 1_700_000_000_000 + chance % MONTH,
+        f"10.{chance >> 40 & 255}.{chance >> 48 & 255}.{chance >> 56}", 20_000 + chance % 10_000,
     )  # fmt: skip
     return msgspec.msgpack.encode(value)
 
 
 def instance_key(number: int) -> str:
-    return f"{service(number // INSTANCES_A_SERVICE)}/i-{number:06d}"
+    return f"{service(number // INSTANCES_A_SERVICE)}/i-{drawn('name', number) & 0xFFFFFFFF:08x}"
 
 
 def route_changes(author: Author, count: int) -> Iterator[Change]:
     for number in range(max(1, round(count / RULES_A_SERVICE))):
-        yield author.seal(Kind.ROUTES, service(number), RULES)
+        yield author.seal(Kind.ROUTES, service(number), rules(number % SETS))
 
 
 def tenant_changes(author: Author, count: int) -> Iterator[Change]:
@@ -104,15 +135,20 @@
     view.apply(Apply(REGION, changes[-1].version, changes))
 
 
+@cache
+def packed(value: bytes) -> Value:
+    """A set of routes as the view keeps it, checked."""
+    return new_view().checks.read(Kind.ROUTES, service(0), value)
+
+
 def filled(changes: Iterator[Change]) -> View:
     """A view that has taken the changes, in batches as a relay hands them on."""
     view = new_view()
-    packed = view.checks.read(Kind.ROUTES, service(0), RULES)
     batch: list[Change] = []
     for change in changes:
         batch.append(change)
         if change.kind == Kind.ROUTES:
-            view.ahead[digest_of(change)] = packed
+            view.ahead[digest_of(change)] = packed(change.value)
         if len(batch) == BATCH:
             apply(view, batch)
             batch = []
@@ -129,15 +165,15 @@
 
 
 def route_look_up(view: View, number: int) -> Callable[[], None]:
-    resource = RULES_A_SERVICE // 2
-    path, verb = f"/v1/resource-{resource:02d}/7", VERBS[resource % 2]
-    authority = service(number)
+    which, middle = number % SETS, RULES_A_SERVICE // 2
+    verb = VERBS[drawn("rule", which * RULES_A_SERVICE + middle) % 2]
+    authority, asked, path = service(number), service(which), f"/v1/{resource(which, middle)}/7"
 
     def look_up() -> None:
         found = view.routes(authority)
         assert found is not None
-        # The sets are all of the first service's rules, which ask for its authority.
-        assert found.find(Request(service(0), path, verb)) is not None
+        # The rules ask for the authority of the first service that has this set.
+        assert found.find(Request(asked, path, verb)) is not None
 
     return look_up
 
@@ -147,8 +183,8 @@
     view = filled(route_changes(author, count))
     services = round(count / RULES_A_SERVICE)
     middle = service(services // 2)
-    other = RULES.replace(b"soft 200ms", b"soft 300ms")
-    costs = {"one change": change_time(view, author, Kind.ROUTES, middle, [other, RULES])}
+    values = [rules(services // 2 % SETS, soft) for soft in (300, 0)]
+    costs = {"one change": change_time(view, author, Kind.ROUTES, middle, values)}
     in_use = route_look_up(view, services // 2)
     in_use()
     costs["one look-up"] = processor_time(in_use, 1_000)
--- a/tests/scale/page/gateway.py
+++ b/tests/scale/page/gateway.py
@@ -5,14 +5,15 @@
 from tests.scale.page.figures import Costs, Figure, Row
 from tests.scale.page.size import Size
 
-MICROSECOND = 1e-6
+MICROSECOND, MILLISECOND = 1e-6, 1e-3
 RESP2 = "a gateway by RESP2"
 PROCESSOR = "a gateway by external processor"
 RELEASES = "a gateway's release decisions"
 INSTANCES = "a gateway's instance view"
 ROUTES = "a gateway's routes and tenants"
 MEMBER = "a gateway's membership in leases"
-ROLES = (RESP2, PROCESSOR, RELEASES, INSTANCES, ROUTES, MEMBER)
+VIEW = "a gateway's view of all tables, off in `run`"
+ROLES = (RESP2, PROCESSOR, RELEASES, INSTANCES, ROUTES, MEMBER, VIEW)
 
 MESSAGES_A_REQUEST = 2  # of the proxy to the external processor
 RESTART_MOST = 1.0  # seconds until a restarted gateway is to serve its last good version
@@ -31,6 +32,7 @@
         *routes(size, costs),
         *tenants(size, costs),
         *membership(size, costs),
+        *view(size, costs),
     ]
 
 
@@ -351,5 +353,86 @@
     ]  # fmt: skip
 
 
+def view(size: Size, costs: Costs) -> list[Row]:
+    """One real process with the tables of the whole installation."""
+    role, tenants = "gateway: view of all tables", size.configuration.tenants
+    counts = {
+        "tenant": tenants,
+        "routes": size.fleet.services,
+        "instance": size.fleet.instances,
+        "zone": size.fleet.instances,
+    }
+    rates = {
+        "tenant": size.configuration_changes_a_second,
+        "routes": size.configuration_changes_a_second,
+        "instance": size.list_changes_a_second,
+    }
+    table = "`distribution/view/`"
+    return [
+        Row(
+            role=VIEW, what="resident memory once filled", unit="bytes", mechanism=table,
+            ordinary=costs.at(role, "memory of a process that was filled", tenants, "after"),
+            burst=costs.at(role, "most memory of a process that was filled", tenants, "after"),
+            burst_is="the most while it is filled", budget=size.memory,
+        ),
+        Row(
+            role=VIEW, what="resident memory after a restart and look-ups", unit="bytes", mechanism=table,
+            ordinary=costs.at(role, "memory of a process after a restart", tenants, "after"),
+            budget=size.memory,
+        ),
+        Row(
+            role=VIEW, what="from exec to the first answer after a restart", unit="s",
+            mechanism="`distribution/view/store.py`",
+            ordinary=costs.scaled(
+                role, "from exec to the first answer after a restart", tenants, MILLISECOND, "after"
+            ),
+            budget=RESTART_MOST,
+        ),
+        *[
+            Row(
+                role=VIEW, what=f"look-up, {what}: 50 and 99 in 100", unit="s", mechanism=table,
+                ordinary=costs.scaled(role, f"look-up, {what}, p50", count, MICROSECOND, "after"),
+                burst=costs.scaled(role, f"look-up, {what}, p99", count, MICROSECOND, "after"),
+                burst_is="99 in 100", budget=size.configuration.look_up_p99_us * MICROSECOND,
+            )
+            for what, count in (
+                ("tenant", tenants),
+                ("routes compiled", size.fleet.services),
+                ("instance in use", size.fleet.instances),
+            )
+        ],
+        *[
+            Row(
+                role=VIEW, what=f"the first use of a service, {what}: 50 and 99 in 100", unit="s",
+                mechanism=table,
+                ordinary=costs.scaled(
+                    role, f"look-up, {what}, p50", size.fleet.services, MICROSECOND, "after"
+                ),
+                burst=costs.scaled(
+                    role, f"look-up, {what}, p99", size.fleet.services, MICROSECOND, "after"
+                ),
+                burst_is="99 in 100", budget=size.load.added_p99_ms * MILLISECOND,
+            )
+            for what in ("routes cold", "service cold")
+        ],
+        *[
+            Row(
+                role=VIEW, what=f"processor time of changes, {what}, each checked and applied", unit="core",
+                mechanism=table,
+                ordinary=costs.scaled(
+                    role, f"one change, {what}, p50", counts[what], rate * MICROSECOND, "after"
+                ),
+                budget=size.budget.core_share,
+            )
+            for what, rate in rates.items()
+        ],
+        Row(
+            role=VIEW, what="a zone lost: one change", unit="s", mechanism=table, ordinary=None,
+            burst=costs.scaled(role, "one change, zone, p99", counts["zone"], MICROSECOND, "after"),
+            burst_is=f"{size.instances_a_zone:,.0f} instances", budget=size.configuration.in_force_s,
+        ),
+    ]  # fmt: skip
+
+
 def _sum(first: Figure | None, second: Figure | None) -> Figure | None:
     return None if first is None or second is None else first + second
