--- /dev/null
+++ b/tests/scale/test_measure.py
@@ -0,0 +1,72 @@
+"""The measuring programs run on the present text, each at a size far below those that it writes down."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from tests.net import loopback
+from tests.scale.measure import (
+    costs, discovery, gateway, instances, leases, module, peers, processor, relay, releases, routes, tenants,
+    view,
+)  # fmt: skip
+
+MEASURES: dict[str, Callable[[], float]] = {
+    "instances, one change": lambda: instances.change_time(20),
+    "instances, a whole list": lambda: instances.whole_time(20),
+    "instances, memory": lambda: instances.view_bytes(20),
+    "tenants, one request": lambda: tenants.count_time(20),
+    "tenants, memory": lambda: tenants.rates_bytes(20) + tenants.shares_bytes(20),
+    "peers, one message": lambda: peers.message_time(8),
+    "peers, memory": lambda: costs.held_bytes(lambda: peers.told(8)),
+    "module, one RPC": lambda: module.rpc_time(4),
+    "routes, a table made": lambda: routes.make_time(4),
+    "routes, a look-up": lambda: routes.find_time(26),
+    "releases, one outcome": lambda: releases.outcome_time(4),
+    "discovery, a list read": lambda: discovery.read_time(4),
+    "discovery, votes": lambda: discovery.vote_bytes(1),
+    "relay, one change": lambda: relay.change_time(600),
+    "relay, everything": lambda: relay.whole_bytes(20),
+    "publisher, one change": lambda: relay.publish_time(20),
+    "view, restart": lambda: view.restart_time(20),
+}
+
+
+@pytest.mark.parametrize("name", MEASURES)
+def test_a_measure_gives_a_cost(name):
+    assert MEASURES[name]() > 0
+
+
+def test_the_measures_of_the_view_give_every_cost():
+    for found in (
+        view.route_costs(6 * routes.RULES_A_SERVICE),
+        view.tenant_costs(20),
+        view.instance_costs(44),
+    ):
+        assert all(cost > 0 for cost in found.values()), found
+
+
+def test_a_request_at_the_front_has_a_cost(monkeypatch):
+    monkeypatch.setattr(processor, "REQUESTS", 20)
+    assert processor.request_time(2) > 0
+
+
+def test_a_relays_feed_sends_its_followers_what_they_follow(monkeypatch):
+    monkeypatch.setattr(relay, "SECONDS", 2)
+    busy, sent = relay.feed_costs(3)
+    assert busy > 0 and sent > 0
+
+
+def test_the_quorums_costs_are_of_members_that_ask():
+    found = leases.costs(10)
+    assert set(found) == set(leases.WHATS) and all(cost > 0 for cost in found.values())
+
+
+def test_a_gateways_process_is_measured_while_it_takes_changes(monkeypatch):
+    monkeypatch.setattr(loopback, "ROOT", Path(__file__).parents[2])
+    monkeypatch.setattr(gateway, "IDLE", 0.2)
+    monkeypatch.setattr(gateway, "CHANGES", 2)
+    resident, _, _ = gateway.gateway_costs(20)
+    assert resident > 10_000_000
