--- a/linenbridge/distribution/peers.py
+++ b/linenbridge/distribution/peers.py
@@ -56,7 +56,7 @@
         """A new epoch: nothing is known but which lives are over."""
         self.prepared: Prepared | None = None
         self.acked = 0
-        self.match = START  # the newest version that it acknowledged or surely has
+        self.match = START  # where sending goes on after silence: the newest version it acknowledged
         self.sent = START  # the last entry sent, or where it goes on
         self.told = 0  # the committed sequence that the newest message tells
         self.complete = 0  # up to here the relay surely has all that the log holds
@@ -105,7 +105,8 @@
             return
         self.careful, self.gap_at = True, upto
         self.complete = upto
-        self._go_back(Version(0, upto))
+        self.match = Version(0, upto)
+        self._go_back(self.match)
         self._rest(now)
 
     def start(self, now: int, end: Version) -> None:
@@ -113,11 +114,11 @@
         offered, and the relay answers."""
         if self.prepared is not None:
             self.complete = self.prepared.committed
-            self._go_back(Version(0, self.complete))
-            self.match = self.sent
+            self.match = Version(0, self.complete)
+            self._go_back(self.match)
             self._rest(now)
         else:
-            self.sent = end
+            self.match = self.sent = end
             self.timer_at = now
 
     # ---- messages ----------------------------------------------------------------------------------------
@@ -125,8 +126,9 @@
     def messages(self, now: int, region: str, epoch: int, log: Log) -> list[Append]:
         """What is to be sent now."""
         found = list[Append]()
-        if now >= self.timer_at:
-            found.append(self._on_timer(now, region, epoch, log))
+        if now >= self.timer_at and self.under_way:
+            self._give_up_waiting()
+            found.append(self._probe(now, region, epoch, log))
         while self._has_room():
             changes, _ = log.after(self.sent.sequence)
             if not changes:
@@ -136,7 +138,9 @@
             self.under_way.append(UnderWay(self.sent, size, told))
             found.append(Append(region, epoch, previous, told, changes))
             self._rest(now)
-        if not found and self.told < log.committed <= self.sent.sequence and not self.careful:
+        if not found and now >= self.timer_at:
+            found.append(self._probe(now, region, epoch, log))
+        elif not found and self.told < log.committed <= self.sent.sequence and not self.careful:
             found.append(self._empty(region, epoch, log))
         return found
 
@@ -146,12 +150,14 @@
         size = sum(message.size for message in self.under_way)
         return len(self.under_way) < MESSAGES_MOST and size < WINDOW_BYTES
 
-    def _on_timer(self, now: int, region: str, epoch: int, log: Log) -> Append:
-        """Without an answer for a while, or nothing to say for a while: an empty message."""
-        if self.under_way:
-            self.careful, self.gap_at = True, -1
-            self._go_back(self.match)
-            self.wait = min(2 * self.wait, self.pace.retry_most)
+    def _give_up_waiting(self) -> None:
+        """No answer for a while: go on from where both surely agree, with one message at a time."""
+        self.careful, self.gap_at = True, -1
+        self._go_back(self.match)
+        self.wait = min(2 * self.wait, self.pace.retry_most)
+
+    def _probe(self, now: int, region: str, epoch: int, log: Log) -> Append:
+        """An empty message: a heartbeat, or a question that is waited for."""
         message = self._empty(region, epoch, log)
         if self.careful:
             self.under_way.append(UnderWay(self.sent, 0, message.committed))
--- a/linenbridge/distribution/publisher.py
+++ b/linenbridge/distribution/publisher.py
@@ -229,12 +229,16 @@
         that is committed counts from then on, so it is counted again."""
         self._append_lives()
         while (sequence := self._kept_by_enough()) > self.log.committed:
-            found = self.log.version_at(sequence)
-            if found is None or found.epoch != self.epoch:
+            if not self._is_of_this_epoch(sequence):
                 return
             self.log.commit(sequence)
             self.authors.on_committed(sequence)
 
+    def _is_of_this_epoch(self, sequence: int) -> bool:
+        """An entry of an earlier epoch that a majority has may still be replaced by another publisher's."""
+        found = self.log.version_at(sequence)
+        return found is not None and found.epoch == self.epoch
+
     def _kept_by_enough(self) -> int:
         """The newest sequence that a majority of all relays has, of those whose life counts, or all have."""
         by_all = min((peer.acked if peer.life else 0) for peer in self.peers.values())
--- a/linenbridge/distribution/reach.py
+++ b/linenbridge/distribution/reach.py
@@ -11,6 +11,7 @@
 from linenbridge.distribution.messages import Progress, Summary
 
 NAMES_MOST = 64  # unreached names that are remembered
+NO_BOUND = 1 << 62  # the least sequence in force where there is nobody to have it
 
 
 @dataclass
@@ -52,9 +53,10 @@
         silent = [relay for relay, at in self._heard.items() if now - at >= self.silence]
         reached = [relay for relay in self._heard if relay not in silent]
         self._wake_at = min((self._heard[relay] + self.silence for relay in reached), default=None)
-        if not reached or any(relay not in self._positions for relay in reached):
+        if not reached or not all(relay in self._below or relay in self._positions for relay in reached):
             return None
-        found = Everywhere(min(self._least(relay) for relay in reached), silent, len(silent))
+        least = [sequence for relay in reached for sequence in self._in_force(relay)]
+        found = Everywhere(min(least, default=NO_BOUND), silent, len(silent))
         for relay in reached:
             if (summary := self._below.get(relay)) is not None:
                 found.unreached += summary.unreached[: NAMES_MOST - len(found.unreached)]
@@ -65,7 +67,8 @@
         """When another relay would count as silent, as of the last look."""
         return self._wake_at
 
-    def _least(self, relay: str) -> int:
+    def _in_force(self, relay: str) -> list[int]:
+        """Of the relay itself, where it says so, and the least of its followers, where it has any."""
         summary = self._below.get(relay)
-        own = self._positions[relay]
-        return min(own, summary.least) if summary is not None and summary.followers else own
+        own = [self._positions[relay]] if relay in self._positions else []
+        return own + ([summary.least] if summary is not None and summary.followers else [])
--- /dev/null
+++ b/tests/distribution/log/checker.py
@@ -0,0 +1,133 @@
+"""What must hold of a region's log, judged by what relays put on their disks and hand on, and what authors
+are told.
+
+Shares no code with the cores. A breach is the first sentence that is not true.
+"""
+
+from __future__ import annotations
+
+from linenbridge.distribution.changes import Change
+from linenbridge.distribution.decisions import Keep
+from linenbridge.distribution.messages import Append, Publish, Published
+from linenbridge.distribution.replica import Kept
+
+
+class Disk:
+    """One relay's disk, as its writes say: entries by sequence."""
+
+    def __init__(self) -> None:
+        self.rows: dict[int, tuple[int, bytes, int, str]] = {}
+        self.epoch = self.committed = 0
+
+
+def _row(change: Change) -> tuple[int, bytes, int, str]:
+    return change.epoch, change.value, change.kind, change.name
+
+
+class LogChecker:
+    """`agreed` is what is known to be committed, by sequence; `accepted` what authors were told, by request:
+    the key and the sequence."""
+
+    def __init__(self, relays: tuple[str, ...]) -> None:
+        self.disks = {name: Disk() for name in relays}
+        self.agreed: dict[int, tuple[int, bytes, int, str]] = {}
+        self.asked: dict[int, Publish] = {}
+        self.accepted: dict[int, tuple[str, int]] = {}
+        self.refused: set[bytes] = set()
+        self.handed_on = dict.fromkeys(relays, 0)
+        self.promised = dict.fromkeys(relays, 0)
+        self.delivering: tuple[str, int] | None = None  # a relay, and the epoch of an Append
+        self.breach: str | None = None
+
+    # ---- authors -----------------------------------------------------------------------------------------
+
+    def on_publish(self, message: Publish) -> None:
+        self.asked[message.request] = message
+
+    def on_told(self, told: Published) -> None:
+        asked = self.asked[told.request]
+        if told.state == "accepted":
+            self.accepted[told.request] = (asked.name, told.version.sequence)
+            row = (told.version.epoch, asked.value, asked.kind, asked.name)
+            self._agree(told.version.sequence, row, "the publisher")
+        elif told.state == "refused":
+            self.refused.add(asked.value)
+
+    # ---- relays ------------------------------------------------------------------------------------------
+
+    def on_append(self, relay: str, message: Append | None) -> None:
+        """A relay is handed an Append; None: it is done with it."""
+        self.delivering = None if message is None else (relay, message.epoch)
+
+    def on_disk(self, relay: str, kept: Kept) -> None:
+        """A disk that was emptied or put back."""
+        disk = self.disks[relay]
+        disk.epoch, disk.committed = kept.epoch, kept.committed
+        disk.rows = {change.sequence: _row(change) for change in kept.changes}
+
+    def on_start(self, relay: str) -> None:
+        self.handed_on[relay] = 0
+        self.promised[relay] = self.disks[relay].epoch
+
+    def on_decided(self, relay: str, keep: Keep) -> None:
+        """What a running relay is about to write."""
+        promised = self.promised[relay]
+        if keep.epoch < promised:
+            self._break(f"{relay} went back from epoch {promised} to {keep.epoch}")
+        if self.delivering is not None and keep.changes and self.delivering[1] < promised:
+            self._break(f"{relay} took epoch {self.delivering[1]} after it had promised {promised}")
+        self.promised[relay] = keep.epoch
+
+    def on_keep(self, relay: str, keep: Keep) -> None:
+        """It is on disk."""
+        disk = self.disks[relay]
+        if keep.epoch < disk.epoch:
+            self._break(f"{relay}'s disk went back from epoch {disk.epoch} to {keep.epoch}")
+        if keep.truncate_after is not None:
+            self._truncate(relay, disk, keep.truncate_after)
+        for change in keep.changes:
+            disk.rows[change.sequence] = _row(change)
+            if change.value in self.refused and change.kind:
+                self._break(f"{relay} kept {change.value!r}, whose author was told that it is refused")
+        disk.epoch = keep.epoch
+        self._commit(relay, disk, keep.committed)
+        for sequence in keep.superseded:
+            disk.rows.pop(sequence, None)
+
+    def on_handed_on(self, relay: str, changes: list[Change]) -> None:
+        for change in changes:
+            if change.sequence <= self.handed_on[relay]:
+                self._break(f"{relay} handed on {change.sequence} after {self.handed_on[relay]}")
+            self.handed_on[relay] = change.sequence
+            self._agree(change.sequence, _row(change), relay)
+
+    # ---- judging -----------------------------------------------------------------------------------------
+
+    def _truncate(self, relay: str, disk: Disk, after: int) -> None:
+        if after < disk.committed:
+            self._break(f"{relay} dropped committed entries behind {after}")
+        disk.rows = {sequence: row for sequence, row in disk.rows.items() if sequence <= after}
+
+    def _commit(self, relay: str, disk: Disk, committed: int) -> None:
+        if committed < disk.committed:
+            self._break(f"{relay} went back from committed {disk.committed} to {committed}")
+        if committed == disk.committed:
+            return
+        for sequence, row in disk.rows.items():
+            if disk.committed < sequence <= committed:
+                self._agree(sequence, row, relay)
+        disk.committed = committed
+        for name, sequence in self.accepted.values():
+            if sequence <= committed and not self._has(disk, name, sequence):
+                self._break(f"{relay} committed up to {committed} without {name} of {sequence}")
+
+    def _has(self, disk: Disk, name: str, sequence: int) -> bool:
+        return any(at >= sequence and row[2:] == (2, name) for at, row in disk.rows.items())
+
+    def _agree(self, sequence: int, row: tuple[int, bytes, int, str], by: str) -> None:
+        known = self.agreed.setdefault(sequence, row)
+        if known != row:
+            self._break(f"{by} committed {row} at {sequence}, where {known} was committed")
+
+    def _break(self, what: str) -> None:
+        self.breach = self.breach or what
--- /dev/null
+++ b/tests/distribution/log/explored.py
@@ -0,0 +1,257 @@
+"""A region's log in a small world: three relays, publishers that replace each other, every message's fate a
+choice.
+
+Owns the network, the disks and the pauses around real cores. A message is prompt, late by some ticks, lost,
+or comes twice; a relay starts anew with its disk, an emptied one or an older one; a process is stopped for
+some ticks; another publisher gets the next term while the one before goes on believing in its own, which is
+worse than any lease allows, or even the same term once more. At most one relay's disk forgets at a time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from linenbridge.distribution.changes import Kind
+from linenbridge.distribution.decisions import Committed, Keep, Send
+from linenbridge.distribution.messages import Append, Message, Publish, Published
+from linenbridge.distribution.peers import PublisherPace
+from linenbridge.distribution.publisher import Publisher
+from linenbridge.distribution.replica import Kept, Replica
+from tests.distribution.log.checker import LogChecker
+from tests.distribution.log.world import REGION, deliver, disk_after, no_faults
+
+RELAYS, PUBLISHERS, KEYS = ("a", "b", "c"), ("p", "q"), ("k", "l")
+PACE = PublisherPace(heartbeat=4, retry=3, retry_most=6, answer_within=20, silence=50)
+LATE, STOPPED, TWICE_AFTER = (1, 4, 9), (3, 10), 5
+SETTLED_AT = 4  # ticks after which a world begins: a publisher leads and all relays count
+HISTORY = 4  # a disk's newest states that an older one is taken from
+
+
+@dataclass(frozen=True)
+class LogScenario:
+    """What may go wrong in a world, how often in all, and how long it is watched, in ticks."""
+
+    deviations: int = 1
+    ticks: int = 16
+    faults: tuple[str, ...] = ("late", "lost", "twice", "kept", "blank", "older", "stopped", "replace")
+    from_tick: int = 0  # nothing goes wrong before
+    publish_at: tuple[int, ...] = (1, 3, 5, 9)
+    replace_at: tuple[int, ...] = ()  # a new publisher in any case
+    trusted: bool = False
+    slow_disks: bool = False  # what is to be kept is on disk a tick later; a start before that loses it
+    value_bytes: int = 0  # of each change, at the least
+
+
+class Even:
+    """Chance that is none; `life` is a relay's next one."""
+
+    def __init__(self, life: int = 0) -> None:
+        self.life = life
+
+    def random(self) -> float:
+        return 0.5
+
+    def getrandbits(self, bits: int) -> int:
+        return self.life
+
+
+class LogWorld:
+    def __init__(self, scenario: LogScenario) -> None:
+        self.scenario, self.left = scenario, 0
+        self.now = self.start = self.lives = 0
+        self.checker = LogChecker(RELAYS)
+        self.disks: dict[str, list[Kept]] = {name: [Kept()] for name in RELAYS}
+        self.forgot: set[str] = set()  # relays that lost something and do not count again yet
+        self.replicas = {name: self._replica(name) for name in RELAYS}
+        self.publishers = {
+            name: Publisher(REGION, name, RELAYS, PACE, Even(), no_faults) for name in PUBLISHERS
+        }
+        self.terms: dict[str, int] = {"p": 1}
+        self.newest = "p"
+        self.flying: list[tuple[int, int, str, str, Message]] = []
+        self.posted: list[tuple[str, str, Message]] = []
+        self.stopped: dict[str, int] = {}
+        self.unwritten: list[tuple[str, Replica, Keep]] = []
+        self.count = self.requests = 0
+        for name in (*RELAYS, *PUBLISHERS):
+            self._pump(name)
+        while self.now < SETTLED_AT:
+            self.take(self.choices()[0])
+        self.left, self.start = scenario.deviations, self.now
+        for name, states in self.disks.items():
+            self.disks[name] = states[-1:]
+
+    @property
+    def tick(self) -> int:
+        return self.now - self.start
+
+    def _replica(self, name: str) -> Replica:
+        self.lives += 2
+        return Replica(REGION, name, self.disks[name][-1], self.scenario.trusted, Even(self.lives))
+
+    # ---- what the search asks ----------------------------------------------------------------------------
+
+    def over(self) -> bool:
+        return self.tick >= self.scenario.ticks
+
+    def breach(self) -> str | None:
+        return self.checker.breach
+
+    def choices(self) -> list[str]:
+        faults = self.scenario.faults if self.tick >= self.scenario.from_tick else ()
+        if self.posted:
+            sender, to, message = self.posted[0]
+            kind = f"{type(message).__name__} {sender}>{to} at {self.tick}"
+            late = [f"late {ticks} {kind}" for ticks in LATE] if "late" in faults else []
+            lost = [f"lost {kind}"] if "lost" in faults else []
+            return ["prompt", *late, *lost, *([f"twice {kind}"] if "twice" in faults else [])]
+        found = ["on"]
+        found += [f"kept {name} at {self.tick}" for name in RELAYS if "kept" in faults]
+        may_forget = [name for name in RELAYS if self._forgotten() <= {name}]
+        for kind in ("blank", "older", "oldest"):
+            found += [f"{kind} {name} at {self.tick}" for name in may_forget if kind in faults]
+        if "stopped" in faults:
+            running = [name for name in (*RELAYS, *self.terms) if name not in self.stopped]
+            found += [f"stopped {n} {name} at {self.tick}" for name in running for n in STOPPED]
+        if "replace" in faults:
+            found += [f"replace {name} at {self.tick}" for name in PUBLISHERS]
+        if "again" in faults:
+            found += [f"again {name} at {self.tick}" for name in PUBLISHERS if name != self.newest]
+        return found
+
+    def take(self, choice: str) -> None:
+        kind, *words = choice.split()
+        if self.posted:
+            sender, to, message = self.posted.pop(0)
+            if kind in ("prompt", "twice"):
+                self._fly(self.now, sender, to, message)
+            if kind == "twice":
+                self._fly(self.now + TWICE_AFTER, sender, to, message)
+            if kind == "late":
+                self._fly(self.now + int(words[0]), sender, to, message)
+        elif kind == "stopped":
+            self.stopped[words[1]] = self.now + int(words[0])
+        elif kind == "replace":
+            self._replace(words[0])
+        elif kind == "again":
+            self.terms[words[0]] = self.terms[self.newest]
+            self._pump(words[0])
+        elif kind in ("kept", "blank", "older", "oldest"):
+            self._restart(words[0], kind)
+        else:
+            self._tick()
+        self._run()
+
+    # ---- the world ---------------------------------------------------------------------------------------
+
+    def _fly(self, tick: int, sender: str, to: str, message: Message) -> None:
+        self.count += 1
+        self.flying.append((tick, self.count, sender, to, message))
+
+    def _forgotten(self) -> set[str]:
+        self.forgot = {name for name in self.forgot if not self.replicas[name].member}
+        return self.forgot
+
+    def _restart(self, name: str, kind: str) -> None:
+        states = self.disks[name]
+        if kind != "kept":
+            self.forgot.add(name)
+            states[:] = [{"blank": Kept(), "older": states[-2:][0], "oldest": states[0]}[kind]]
+            self.checker.on_disk(name, states[0])
+        self.checker.on_start(name)
+        self.unwritten = [row for row in self.unwritten if row[0] != name]
+        self.replicas[name] = self._replica(name)
+        self._pump(name)
+
+    def _replace(self, name: str) -> None:
+        """The next term is this publisher's; the one before goes on with its own."""
+        self.terms[name] = max(self.terms.values()) + 1
+        self.newest = name
+        self._pump(name)
+
+    def _tick(self) -> None:
+        self.now += 1
+        unwritten, self.unwritten = self.unwritten, []
+        for name, core, keep in unwritten:
+            self._write(name, core, keep)
+        for name in [name for name, until in self.stopped.items() if until <= self.now]:
+            del self.stopped[name]
+            self._pump(name)
+        if self.start and self.tick in self.scenario.replace_at:
+            self._replace("q" if self.newest == "p" else "p")
+        if self.start and self.tick in self.scenario.publish_at:
+            self._publish()
+        for name, core in self.publishers.items():
+            wake = core.wake_at()
+            if wake is not None and wake <= self.now:
+                self._pump(name)
+
+    def _publish(self) -> None:
+        """A change to each publisher that believes in its term."""
+        for name in self.terms:
+            if name in self.stopped:
+                continue
+            self.requests += 1
+            key = KEYS[self.requests % len(KEYS)]
+            value = b"%d" % self.requests + b"x" * self.scenario.value_bytes
+            message = Publish(self.requests, REGION, Kind.TENANT, key, value)
+            self.checker.on_publish(message)
+            self.publishers[name].on_publish(self.now, "author", message)
+            self._pump(name)
+
+    def _run(self) -> None:
+        """Prompt deliveries, until something is posted or all that was due is done."""
+        while not self.posted:
+            due = [row for row in self.flying if row[0] <= self.now and row[3] not in self.stopped]
+            if not due:
+                return
+            row = min(due, key=lambda row: row[:2])
+            self.flying.remove(row)
+            self._deliver(row[2], row[3], row[4])
+
+    def _deliver(self, sender: str, to: str, message: Message) -> None:
+        core = self.replicas.get(to) or self.publishers[to]
+        if isinstance(message, Append):
+            self.checker.on_append(to, message)
+        deliver(core, self.now, sender, message)
+        self._pump(to)
+        self.checker.on_append(to, None)
+
+    def _pump(self, name: str) -> None:
+        if name in self.stopped:
+            return
+        core = self.replicas.get(name) or self.publishers[name]
+        while True:
+            if name in self.publishers:
+                core.on_term(self.now, self.terms.get(name))
+            decision = core.next_decision(self.now)
+            if decision is None:
+                return
+            self._carry_out(name, core, decision)
+
+    def _carry_out(self, name: str, core: Replica | Publisher, decision: object) -> None:
+        if isinstance(decision, Send):
+            self._send(name, decision)
+        elif isinstance(decision, Committed):
+            self.checker.on_handed_on(name, decision.changes)
+        elif isinstance(decision, Keep):
+            self.checker.on_decided(name, decision)
+            if self.scenario.slow_disks:
+                self.unwritten.append((name, core, decision))
+            else:
+                self._write(name, core, decision)
+
+    def _write(self, name: str, core: Replica, keep: Keep) -> None:
+        states = self.disks[name]
+        states.append(disk_after(states[-1], keep))
+        del states[1:-HISTORY]
+        self.checker.on_keep(name, keep)
+        core.on_kept(self.now, keep.number)
+        for send in keep.then:
+            self._send(name, send)
+
+    def _send(self, name: str, send: Send) -> None:
+        if isinstance(send.message, Published):
+            self.checker.on_told(send.message)
+        else:
+            self.posted.append((name, send.to, send.message))
--- /dev/null
+++ b/tests/distribution/log/mutants.py
@@ -0,0 +1,175 @@
+"""The guards of a region's log, each taken away on purpose; what is explored then must break.
+
+Owns the mutants alone. Each is a context that patches one guard and puts it back; the words say which.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from unittest.mock import patch
+
+import msgspec
+
+from linenbridge.distribution import log, peers, publisher, reading, replica
+
+
+@contextmanager
+def half_is_enough() -> Iterator[None]:
+    """One relay fewer than a majority is enough, to read and to write."""
+    with (
+        patch.object(reading, "majority", lambda relays: relays // 2),
+        patch.object(publisher, "majority", lambda relays: relays // 2),
+    ):
+        yield
+
+
+@contextmanager
+def takes_any_epoch() -> Iterator[None]:
+    """A relay takes what comes from a publisher that was replaced."""
+    with patch.object(replica.Replica, "_follows", lambda self, publisher, epoch: True):
+        yield
+
+
+@contextmanager
+def two_of_one_epoch() -> Iterator[None]:
+    """A relay takes an epoch from whoever names it."""
+    with patch.object(replica.Replica, "_follows", lambda self, publisher, epoch: epoch >= self.epoch):
+        yield
+
+
+@contextmanager
+def forgets_its_promise() -> Iterator[None]:
+    """A relay that starts anew does not know which epoch it has promised."""
+    plain = replica.Replica.__init__
+
+    def forgetful(self, region, name, kept, trusted, random):
+        plain(self, region, name, msgspec.structs.replace(kept, epoch=0, publisher=""), trusted, random)
+
+    with patch.object(replica.Replica, "__init__", forgetful):
+        yield
+
+
+@contextmanager
+def answers_before_the_disk() -> Iterator[None]:
+    """A relay's answer leaves while what it says is not on disk yet."""
+    plain = replica.Replica._keep
+
+    def early(self, truncate_after=None, changes=None, superseded=None, then=None):
+        self._out.extend(then or [])
+        plain(self, truncate_after, changes, superseded)
+
+    with patch.object(replica.Replica, "_keep", early):
+        yield
+
+
+@contextmanager
+def does_not_look_back() -> Iterator[None]:
+    """A relay appends whatever the entry before may be."""
+    with patch.object(log.Log, "agrees_at", lambda self, version: True):
+        yield
+
+
+@contextmanager
+def cuts_off_what_agrees() -> Iterator[None]:
+    """A relay replaces everything behind `previous`, also by an old message of the same epoch."""
+
+    def news(self, message):
+        agreed = max(message.previous.sequence, self.log.committed)
+        changes = [change for change in message.changes if change.sequence > self.log.committed]
+        return (agreed if changes and self.log.last.sequence > agreed else None), changes
+
+    with patch.object(replica.Replica, "_news", news):
+        yield
+
+
+@contextmanager
+def reads_nothing() -> Iterator[None]:
+    """A publisher goes on from what it knew itself as committed."""
+
+    def choose(self, now):
+        self._quorum = [peer for peer in self.peers.values() if peer.prepared is not None]
+        self._finish(now)
+
+    with patch.object(reading.Reading, "_choose", choose), patch.object(
+        reading.Reading, "_is_over", lambda self, peer: False
+    ):  # fmt: skip
+        yield
+
+
+@contextmanager
+def reads_any_log() -> Iterator[None]:
+    """A publisher reads some relay of a majority, not the one with the newest log."""
+    with patch.object(reading, "max", lambda rows, **_: list(rows)[0], create=True):
+        yield
+
+
+@contextmanager
+def counts_older_epochs() -> Iterator[None]:
+    """An entry of an earlier epoch counts as committed by itself once a majority has it."""
+    with patch.object(publisher.Publisher, "_is_of_this_epoch", lambda self, sequence: True):
+        yield
+
+
+@contextmanager
+def counts_without_memory() -> Iterator[None]:
+    """A relay that lost its disk counts as one that never did."""
+    with (
+        patch.object(log.Log, "life_counts", lambda self, relay, life: True),
+        patch.object(reading.Reading, "_is_over", lambda self, peer: False),
+    ):
+        yield
+
+
+@contextmanager
+def believes_every_disk() -> Iterator[None]:
+    """A disk that was put back older counts as one that never was."""
+    plain = replica.Replica.__init__
+
+    def trusting(self, region, name, kept, trusted, random):
+        plain(self, region, name, kept, True, random)
+
+    with patch.object(replica.Replica, "__init__", trusting):
+        yield
+
+
+@contextmanager
+def counts_lives_too_early() -> Iterator[None]:
+    """A relay's new life counts before the entry that names it is committed without it."""
+
+    def counts(self, relay, life):
+        found = self.lives.get(relay)
+        return found is not None and found.number == life
+
+    with patch.object(log.Log, "life_counts", counts):
+        yield
+
+
+@contextmanager
+def believes_lives_that_are_over() -> Iterator[None]:
+    """A publisher counts the promise of a relay that has forgotten it since."""
+    with patch.object(reading.Reading, "_is_over", lambda self, peer: False):
+        yield
+
+
+@contextmanager
+def tells_too_early() -> Iterator[None]:
+    """A relay far behind is told what is committed before it has all the pages up to there."""
+
+    def tell(self, log):
+        self.told = log.committed
+        return self.told
+
+    with patch.object(peers.Peer, "_tell", tell):
+        yield
+
+
+MUTANTS = {
+    mutant.__name__: mutant
+    for mutant in (
+        half_is_enough, takes_any_epoch, two_of_one_epoch, forgets_its_promise, answers_before_the_disk,
+        does_not_look_back, cuts_off_what_agrees, reads_nothing, reads_any_log, counts_older_epochs,
+        counts_without_memory, believes_every_disk, counts_lives_too_early, believes_lives_that_are_over,
+        tells_too_early,
+    )
+}  # fmt: skip
--- /dev/null
+++ b/tests/distribution/log/test_explored.py
@@ -0,0 +1,120 @@
+"""A region's log explored: no schedule breaks it, and without any one guard a written one does."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from linenbridge.distribution.changes import Kind
+from linenbridge.distribution.decisions import Keep
+from tests.distribution.log.checker import LogChecker
+from tests.distribution.log.explored import LogScenario, LogWorld
+from tests.distribution.log.mutants import MUTANTS
+from tests.distribution.log.schedules import DEEP
+from tests.distribution.log.world import REGION
+from tests.fleet.explore.search import follow, search, wander
+
+ALL_FAULTS = (*LogScenario.faults, "oldest", "again")
+WHOLE = {
+    "any one fault": LogScenario(ticks=8),
+    "any one fault around a new publisher": LogScenario(ticks=9, replace_at=(3,)),
+    "any one fault, slow disks": LogScenario(ticks=8, slow_disks=True, replace_at=(3,)),
+    "any one fault, two new publishers": LogScenario(ticks=9, publish_at=(1, 4), replace_at=(2, 5)),
+}
+WALKS = {
+    "few faults": (LogScenario(14, ticks=60, publish_at=tuple(range(1, 60, 2)), faults=ALL_FAULTS), 0.05),
+    "many faults": (LogScenario(60, ticks=60, publish_at=tuple(range(1, 60, 2)), faults=ALL_FAULTS), 0.25),
+    "slow disks": (LogScenario(20, ticks=40, publish_at=tuple(range(1, 40, 2)), slow_disks=True), 0.1),
+    "pages": (LogScenario(20, ticks=40, publish_at=tuple(range(1, 40, 3)), value_bytes=30_000), 0.1),
+}
+
+
+@pytest.mark.parametrize("name", WHOLE)
+def test_no_schedule_breaks_the_log(name):
+    found = search(lambda: LogWorld(WHOLE[name]))
+    print(found.line(name))
+    assert found.breach is None and not found.cut and found.schedules > 200
+
+
+@pytest.mark.parametrize("name", WALKS)
+def test_no_long_walk_breaks_the_log(name):
+    scenario, odds = WALKS[name]
+    found = wander(lambda: LogWorld(scenario), 60, seed=1, odds=odds)
+    print(found.line(f"walks, {name}"))
+    assert found.breach is None
+
+
+@pytest.mark.parametrize("slow_disks", [False, True])
+def test_changes_are_accepted_and_the_next_publisher_goes_on_where_nothing_goes_wrong(slow_disks):
+    scenario = LogScenario(ticks=24, publish_at=(1, 4, 16, 19), replace_at=(10,), slow_disks=slow_disks)
+    world = LogWorld(scenario)
+    while not world.over():
+        world.take(world.choices()[0])
+    assert world.breach() is None
+    accepted = world.checker.accepted.values()
+    last = {disk.committed for disk in world.checker.disks.values()}
+    assert len(accepted) >= 4 and last == {max(sequence for _, sequence in accepted)}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_each_guard_taken_away_is_seen(name):
+    scenario, script = DEEP[name]
+    assert follow(lambda: LogWorld(scenario), script).breach is None
+    with MUTANTS[name]():
+        found = follow(lambda: LogWorld(scenario), script)
+    print(f"{name}: {(found.breach or '')[:80]}")
+    assert found.breach is not None, "a guard that nothing needs"
+
+
+def settled_world() -> LogWorld:
+    world = LogWorld(LogScenario(ticks=6, publish_at=(1, 2)))
+    while not world.over():
+        world.take(world.choices()[0])
+    assert world.breach() is None
+    return world
+
+
+def written_again(world: LogWorld, **fields: object) -> str | None:
+    """What the checker says where relay a's disk is written as given, behind all that it has."""
+    kept = world.disks["a"][-1]
+    keep = Keep(99, None, [], kept.epoch, kept.committed, kept.publisher, kept.life)
+    world.checker.on_keep("a", msgspec.structs.replace(keep, **fields))
+    return world.checker.breach
+
+
+PLANTED = {
+    "a committed entry dropped": ({"truncate_after": 2}, "dropped committed entries"),
+    "an epoch taken back": ({"epoch": 0}, "went back from epoch"),
+    "a committed sequence taken back": ({"committed": 1}, "went back from committed"),
+}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_the_checker_sees_a_planted_breach(name):
+    fields, said = PLANTED[name]
+    assert said in (written_again(settled_world(), **fields) or "")
+
+
+def test_the_checker_sees_two_entries_at_one_sequence_and_an_accepted_change_that_is_gone():
+    world = settled_world()
+    change = next(row for row in world.disks["a"][-1].changes if row.kind == Kind.TENANT)
+    world.checker.on_handed_on("b", [change])
+    assert "handed on" in (world.checker.breach or "")
+    checker = LogChecker(("a",))
+    checker.accepted[1] = ("k", 3)
+    checker.on_keep("a", Keep(1, None, [change], 1, change.sequence, "p", 1))
+    assert "without k of 3" in (checker.breach or "")
+    checker = LogChecker(("a", "b"))
+    checker.on_handed_on("a", [change])
+    other = type(change)(REGION, 2, change.sequence, change.kind, change.name, b"other")
+    checker.on_handed_on("b", [other])
+    assert f"at {change.sequence}, where" in (checker.breach or "")
+
+
+def test_a_world_is_played_the_same_way_each_time():
+    scenario, odds = WALKS["many faults"]
+    short = replace(scenario, ticks=20)
+    lines = {wander(lambda: LogWorld(short), 5, seed=7, odds=odds).states for _ in range(2)}
+    assert len(lines) == 1
