--- a/linenbridge/fleet/store/__init__.py
+++ b/linenbridge/fleet/store/__init__.py
@@ -1,1 +1,1 @@
-"""What outlives the process: a seat's promises."""
+"""The durable state of an acceptor."""
