Distribution: sums never name a follower of another region, nor forget to say who moved

A relay counted a lost follower as unreached in regions that it did not follow, and a follower that told its old relay of its move hung up before the message had left. The link now stays for a heartbeat; after a start, the relays of the own region are told as well, since an earlier process of the name may have followed them.

--- a/linenbridge/distribution/feed.py
+++ b/linenbridge/distribution/feed.py
@@ -206,6 +206,7 @@
 
     def _on_progress_elsewhere(self, now: int, progress: Progress) -> None:
         if not progress.session:
+            self.on_lost(now, progress.follower)  # the end of its older link may be yet to be noticed
             self.departed.elsewhere(progress.follower, now)
         elif progress.follower not in self.sessions:
             self._out.append(Send(progress.follower, Refused(progress.session, SilentFollower.code, 0)))
@@ -277,19 +278,21 @@
         self.on_lost(now, session.follower)
 
     def _serve(self, session: Session, now: int) -> bool:
-        """Messages as the window and the rate allow, region by region; whether more is waiting."""
-        idle = 0
-        while idle < len(session.cursors):
+        """Messages as the window and the rate allow; whether more is waiting. Regions take turns, so that a
+        long catch-up of one does not hold up the others."""
+        waiting = deque(cursor for cursor in session.cursors.values() if self._has_more(cursor))
+        waiting.rotate(-session.messages)
+        while waiting:
             if not session.may_send(now):
-                return any(self._has_more(cursor) for cursor in session.cursors.values())
-            cursor = session.turn()
+                return True
+            cursor = waiting.popleft()
             message = self._message(session, cursor)
             if message is None:
-                idle += 1
                 continue
-            idle = 0
             self.counters.bytes += len(bytes(message.changes))
             self._send(session, message, now)
+            if self._has_more(cursor):
+                waiting.append(cursor)
         return False
 
     def _send(self, session: Session, message: EncodedBatch | EncodedWhole, now: int) -> None:
@@ -301,8 +304,6 @@
         return not table.replacing and (cursor.transfer is not None or cursor.version < table.head)
 
     def _message(self, session: Session, cursor: Cursor) -> EncodedBatch | EncodedWhole | None:
-        if not self._has_more(cursor):
-            return None
         if cursor.transfer is not None:
             return self._whole(session, cursor, cursor.transfer)
         if cursor.version.sequence < self._horizon(cursor):
--- a/linenbridge/distribution/follower.py
+++ b/linenbridge/distribution/follower.py
@@ -21,7 +21,7 @@
 MILLISECOND, SECOND = 1_000, 1_000_000
 SESSION_MOST = 1 << 53
 GAPS_MOST = 3  # at one relay, one after another; then another relay is taken
-LEFT_MOST = 4  # relays that are yet to be told that they were left
+LEFT_MOST = 8  # relays that are yet to be told that they were left, maybe by an earlier process of this name
 
 
 @dataclass(frozen=True)
@@ -81,7 +81,8 @@
             self._of_region(position.region, position.version)
         self._links: dict[str, int] = {}  # those that are up, and since when
         self._dialled: set[str] = set()
-        self._left: dict[str, None] = {}  # relays to be told that another one is followed
+        near = [relay.name for relay in relays if relay.region == home_region]
+        self._left = dict.fromkeys(near[:LEFT_MOST])  # to be told that another one is followed
         self._session = self._random.randrange(1, SESSION_MOST)
         self._messages = self._unanswered = self._unanswered_before = self._gaps = 0
         self._repaired: set[str] = set()  # regions whose ranges were taken anew from this relay
@@ -91,6 +92,7 @@
         self._followed_at = now
         self._progress_at = now
         self._progress_due = False
+        self._told_at = now
         self._below: dict[str, Summary] = {}
         self._out: deque[Decision] = deque()
 
@@ -147,8 +149,6 @@
         if self.following and relay != self.relay and relay in self._links:
             self._out.append(Send(relay, Progress(self.name, 0, [], [])))
             self._left.pop(relay, None)
-            if relay != self._spare:
-                self._hang_up(relay)
 
     def _dial(self, relay: str) -> None:
         if relay not in self._dialled:
@@ -458,10 +458,17 @@
         self._out.append(
             Send(self.relay, Progress(self.name, self._session, self.positions(), below, done))
         )  # fmt: skip
-        self._tell_left()
+        if now - self._told_at >= self.settings.heartbeat:
+            self._told_at = now
+            self._tell_left()
 
     def _tell_left(self) -> None:
-        """Once a heartbeat, dial a relay that is yet to hear that it was left."""
-        for relay in self._left:
+        """Once a heartbeat: let those go that have been told, and dial the next one that has not."""
+        wanted = {self.relay, self._spare, *self._left}
+        for relay in [relay for relay in self._dialled if relay not in wanted]:
+            self._hang_up(relay)
+        if self._left:
+            relay = next(iter(self._left))
+            del self._left[relay]
+            self._left[relay] = None
             self._dial(relay)
-            return
--- a/linenbridge/distribution/progress.py
+++ b/linenbridge/distribution/progress.py
@@ -109,16 +109,21 @@
     def _done(self, lost: _Lost, now: int) -> bool:
         return now - lost.since > (GRACE_ELSEWHERE if lost.elsewhere else GONE_AFTER)
 
-    def counted(self, now: int) -> list[FollowerProgress]:
-        """Those that still count with their last position."""
+    def counted(self, region: str, now: int) -> list[FollowerProgress]:
+        """Those that followed this region and still count with their last position."""
         return [
-            lost.progress for lost in self._lost.values() if lost.elsewhere or now - lost.since <= GRACE
-        ]  # fmt: skip
+            lost.progress
+            for lost in self._lost.values()
+            if region in lost.progress.positions and (lost.elsewhere or now - lost.since <= GRACE)
+        ]
 
-    def unreached(self, now: int) -> list[FollowerProgress]:
+    def unreached(self, region: str, now: int) -> list[FollowerProgress]:
+        """Those that followed this region and are followed up nowhere that this relay knows of."""
         return [
-            lost.progress for lost in self._lost.values() if not lost.elsewhere and now - lost.since > GRACE
-        ]  # fmt: skip
+            lost.progress
+            for lost in self._lost.values()
+            if region in lost.progress.positions and not lost.elsewhere and now - lost.since > GRACE
+        ]
 
 
 def bucket_of(lag: int) -> int:
@@ -130,11 +135,12 @@
     region: str, head: int, heads: Heads, followers: Iterable[FollowerProgress], departed: Departed, now: int
 ) -> Summary:
     """The sums of one region at a relay whose head is `head`. Names are a bounded choice, numbers exact."""
-    counted = [*followers, *departed.counted(now)]
+    counted = [*followers, *departed.counted(region, now)]
+    lost = departed.unreached(region, now)
     count, least = 0, head
     lag = [0] * LAG_BUCKETS
-    unreached = [progress.name for progress in departed.unreached(now)]
-    unreached_count = sum(progress.followers(region) for progress in departed.unreached(now))
+    unreached = [progress.name for progress in lost]
+    unreached_count = sum(progress.followers(region) for progress in lost)
     slowest: list[tuple[int, str]] = []
     for progress in counted:
         position = progress.positions.get(region, 0)
--- a/linenbridge/distribution/sessions.py
+++ b/linenbridge/distribution/sessions.py
@@ -64,6 +64,6 @@
         self.sent_at = now
 
     def turn(self) -> Cursor:
-        """The regions take turns, so that a long transfer of one does not hold up the others."""
+        """The regions take turns with their heartbeats."""
         self._order.rotate(-1)
         return self.cursors[self._order[-1]]
