--- a/linenbridge/distribution/follower.py
+++ b/linenbridge/distribution/follower.py
@@ -164,8 +164,8 @@
     # ---- one relay after another -----------------------------------------------------------------------
 
     def _begin(self, now: int) -> None:
-        """Take the first relay of the order that is not left alone, one with a link before all others."""
-        usable = self._order.usable(now)
+        """Take the first relay that is not left alone, one with a link before all others."""
+        usable = self._order.next_to_try(now)
         if not usable:
             self._begin_at = max(now + 1, self._order.next_usable_at()) + self._jitter()
             return
--- a/linenbridge/distribution/relays.py
+++ b/linenbridge/distribution/relays.py
@@ -70,6 +70,10 @@
         """Those that are not left alone now, in order."""
         return [name for name in self.names if name != without and self._back_off[name].until <= now]
 
+    def next_to_try(self, now: int) -> list[str]:
+        """The same, those that failed least in a row first: all are tried before one is tried again."""
+        return sorted(self.usable(now), key=lambda name: self._back_off[name].failures)
+
     def next_usable_at(self) -> int:
         """When the first relay is usable again."""
         return min(back_off.until for back_off in self._back_off.values())
--- /dev/null
+++ b/tests/distribution/feed/test_progress.py
@@ -0,0 +1,117 @@
+"""The sums along the tree against hand-worked examples."""
+
+from __future__ import annotations
+
+import pytest
+
+from linenbridge.distribution.changes import Position
+from linenbridge.distribution.messages import Progress, Summary
+from linenbridge.distribution.progress import (
+    DEPARTED_MOST, GONE_AFTER, GRACE, GRACE_ELSEWHERE, HEADS_MOST, LAG_BUCKETS, SLOWEST_MOST, UNREACHED_MOST,
+    Departed, FollowerProgress, Heads, add_up, bucket_of,
+)  # fmt: skip
+
+SECOND = 1_000_000
+REGIONS = frozenset({"r1"})
+
+
+def follower(name: str, sequence: int, below: Summary | None = None) -> FollowerProgress:
+    progress = FollowerProgress(name)
+    position = Position("r1", 1, sequence)
+    progress.take(Progress(name, 1, [position], [below] if below else []), REGIONS)
+    return progress
+
+
+def heads(*marks: tuple[int, int]) -> Heads:
+    found = Heads()
+    for sequence, at in marks:
+        found.on_head(sequence, at)
+    return found
+
+
+def histogram(**buckets: int) -> list[int]:
+    return [buckets.get(f"b{n}", 0) for n in range(LAG_BUCKETS)]
+
+
+@pytest.mark.parametrize(
+    ("lag", "bucket"),
+    [(0, 0), (999, 0), (1_000, 1), (1_999, 1), (2_000, 2), (4_000, 3), (1_024_000, 11), (10**15, 23)],
+)
+def test_buckets_are_powers_of_two_milliseconds(lag, bucket):
+    assert bucket_of(lag) == bucket
+
+
+def test_the_lag_is_that_of_the_first_change_that_is_lacking():
+    marks = heads((5, 100), (6, 200), (9, 300))
+    assert [marks.lag(sequence, 1_000) for sequence in (4, 5, 6, 8, 9, 10)] == [900, 800, 700, 700, 0, 0]
+    for sequence in range(10, 3 * HEADS_MOST):
+        marks.on_head(sequence, sequence)
+    assert len(marks._sequences) <= 2 * HEADS_MOST
+
+
+def test_gateways_and_relays_below_are_added_up():
+    below = Summary("r1", 3, 4, ["c", "d"], ["lost"], 2, histogram(b0=1, b5=2))
+    followers = [follower("a", 9), follower("b", 6), follower("relay", 8, below)]
+    marks = heads((8, 0), (9, 6 * SECOND))
+    found = add_up("r1", 9, marks, followers, Departed(), 6 * SECOND + 3_000)
+    assert (found.followers, found.least) == (6, 4)
+    assert found.slowest == ["c", "d", "b", "relay"]
+    assert (found.unreached, found.unreached_count) == (["lost"], 2)
+    assert sum(found.lag) == 6
+    assert found.lag[0] == 1, "a"
+    assert found.lag[2] == 1 + 1, "the relay, 3 ms behind, and its follower that has all that the relay has"
+    assert found.lag[5] == 2, "what lags more than the relay stays where it is"
+    assert found.lag[13] == 1, "b lacks what came 6 s ago"
+
+
+def test_names_are_bounded_and_numbers_are_not():
+    below = Summary(
+        "r1", 500, 1, [f"s{n}" for n in range(500)], [f"u{n}" for n in range(500)], 500, [500] * 99
+    )
+    found = add_up("r1", 9, heads((9, 0)), [follower("relay", 9, below)], Departed(), 0)
+    assert len(found.slowest) == SLOWEST_MOST
+    assert len(found.unreached) == UNREACHED_MOST
+    assert (found.followers, found.unreached_count, len(found.lag)) == (501, 500, LAG_BUCKETS)
+
+
+def test_a_lost_follower_counts_then_is_named_then_taken_as_gone():
+    departed = Departed()
+    below = Summary("r1", 4, 3, [], [], 0, histogram(b0=4))
+    departed.add(follower("relay", 5, below), 0)
+    soon = add_up("r1", 9, heads((9, 0)), [follower("a", 9)], departed, GRACE)
+    assert (soon.followers, soon.least, soon.unreached) == (6, 3, [])
+    later = add_up("r1", 9, heads((9, 0)), [follower("a", 9)], departed, GRACE + 1)
+    assert (later.followers, later.least) == (1, 9)
+    assert (later.unreached, later.unreached_count) == (["relay"], 5)
+    departed.forget(GONE_AFTER)
+    assert len(departed) == 1
+    departed.forget(GONE_AFTER + 1)
+    assert len(departed) == 0
+
+
+def test_one_that_follows_another_relay_counts_until_the_sums_have_arrived():
+    departed = Departed()
+    departed.add(follower("a", 5), 0)
+    departed.elsewhere("a", SECOND)
+    departed.elsewhere("a", SECOND + 1)
+    departed.elsewhere("never seen", SECOND)
+    assert [each.name for each in departed.counted("r1", 10 * SECOND)] == ["a"]
+    assert departed.unreached("r1", 10 * SECOND) == []
+    departed.forget(SECOND + GRACE_ELSEWHERE + 1)
+    assert len(departed) == 0
+
+
+def test_one_that_comes_back_is_no_longer_lost_and_other_regions_are_not_concerned():
+    departed = Departed()
+    departed.add(follower("a", 5), 0)
+    assert departed.unreached("r2", 10 * SECOND) == []
+    departed.returned("a")
+    assert len(departed) == 0
+
+
+def test_lost_followers_are_bounded_the_oldest_go_first():
+    departed = Departed()
+    for n in range(DEPARTED_MOST + 5):
+        departed.add(follower(f"g{n}", 1), n)
+    assert len(departed) == DEPARTED_MOST
+    assert departed.unreached("r1", 60 * SECOND)[0].name == "g5"
