--- a/tests/distribution/feed/world.py
+++ b/tests/distribution/feed/world.py
@@ -11,6 +11,7 @@
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import lru_cache
 from random import Random
 from typing import Any
 
@@ -29,6 +30,7 @@
 CONNECT = 3 * MS
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Message).decode
+_range_of = lru_cache(maxsize=None)(range_of)
 
 
 @dataclass(frozen=True)
@@ -110,7 +112,8 @@
         self.held: dict[str, list[tuple[Callable[..., None], tuple[Any, ...]]]] = defaultdict(list)
         self.record: list[InForce] = []
         self.bytes_to: dict[str, list[tuple[int, int]]] = defaultdict(list)
-        self.reports: dict[str, Progress] = {}
+        self.reports: list[tuple[int, str, Progress]] = []  # by relays, to their region's publisher
+        self.reached: list[tuple[int, str, str, int]] = []  # time, gateway, region, sequence in force
         self.events: list[tuple[int, str, Event]] = []
         self.spoil: Callable[[str, str, Message], list[Message]] | None = None
         self._wakes: dict[str, int] = {}
@@ -297,7 +300,7 @@
         data = _encode(message)
         assert len(data) <= 60_000
         if to.endswith("-publisher"):
-            self.reports[core] = _decode(data)
+            self.reports.append((self.now, core, _decode(data)))
             return
         pair = (core, to) if core in self.followers else self._pair_to(to, core)
         if pair is None or pair not in self.links:
@@ -403,12 +406,13 @@
                 )
         if isinstance(decision, Apply) or decision.final:
             tables.at[region] = max(tables.at.get(region, START), decision.upto)
+            self.reached.append((self.now, gateway, region, decision.upto.sequence))
         core.on_applied(self.now, region, decision.upto, tables.sums[region])
 
     def _drop_unnamed(self, gateway: str, tables: Tables, whole: ReplaceRange) -> None:
         named = {change.key for change in whole.changes}
         for key, change in list(tables.rows[whole.region].items()):
-            unnamed = key not in named and range_of(*key) == whole.range
+            unnamed = key not in named and _range_of(*key) == whole.range
             if unnamed and change.version <= whole.upto:
                 tables.drop(whole.region, key)
                 self.record.append(InForce(self.now, gateway, whole.region, *key, None, b""))
