--- a/tests/distribution/view/test_view.py
+++ b/tests/distribution/view/test_view.py
@@ -177,6 +177,20 @@
     assert view.apply(Apply("eu", Version(1, 9), [])).digest is not None
 
 
+def test_a_range_with_a_refused_version_leaves_the_good_one_in_force():
+    view = new_view()
+    view.apply(batch(routes(1, route_text("look")), tenant(2, 0.2)))
+    for one, number in (
+        (routes(3, b"route"), range_number(Kind.ROUTES, "shop")),
+        (tenant(4, 4.0), range_number(Kind.TENANT, "t1")),
+    ):
+        applied = view.replace(range_of_changes("eu", [one], number, Version(1, 4), final=False))
+        assert len(applied.refused) == 1
+    assert method_of(view) == "look" and view.tenant("t1") == 0.2 and len(view.refused()) == 2
+    again = view.replace(range_of_changes("eu", [tenant(4, 4.0)], number, Version(1, 4), final=True))
+    assert again.refused == [] and again.digest == view.digest("eu") != 0
+
+
 def test_an_older_range_is_passed_over_and_one_at_the_same_version_is_taken():
     view = new_view()
     number = range_number(Kind.TENANT, "t1")
