Full tables in one real process: a program, its small form as a test

python -m tests.scale.full_tables fills a process range by range from a stream, changes single keys, restarts it from its store and prints memory, look-ups, cost of a change and the time from exec to the first answer. A request's path is taken apart when it is made: the lock of a cached property cost half of a look-up.

--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -37,14 +37,9 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     attributes: Mapping[str, str] = field(default_factory=dict)
 
-    @cached_property
-    def plain(self) -> str:
-        """The path without its query."""
-        return self.path.partition("?")[0]
-
-    @cached_property
-    def segments(self) -> list[str]:
-        return self.plain.split("/")[1:]
+    def __post_init__(self) -> None:
+        self.plain = self.path.partition("?")[0]  # the path without its query
+        self.segments = self.plain.split("/")[1:]
 
     @cached_property
     def asked(self) -> dict[str, str]:
--- a/tests/scale/tables/content.py
+++ b/tests/scale/tables/content.py
@@ -24,7 +24,7 @@
     Method("pay", NON_IDEMPOTENT, "all", 0, SECOND, 4.0),
 )
 LONGEST = 5_000 * MS
-EPOCH = 7
+EPOCH, SEED = 7, 1
 REGIONS = ("ap-south", "ap-east", "eu-central", "eu-west", "us-east", "us-west")
 ZONES = 19
 SKEW = 1.6  # of the Pareto law of the services' sizes
@@ -116,7 +116,9 @@
         service = self.random.choice(self.services)
         return self.change(Kind.ROUTES, service, self._rules(service, rules).encode())
 
-    def lost_zone(self, lost: bool) -> Change:
+    def zone_changed(self) -> Change:
+        """A zone that is lost, or is back."""
+        lost = bool(self.random.getrandbits(1))
         return self.change(Kind.ZONE, "zone-3", msgspec.msgpack.encode(ZoneValue(lost)))
 
     def change(self, kind: int, name: str, value: bytes) -> Change:
--- a/tests/scale/tables/process.py
+++ b/tests/scale/tables/process.py
@@ -1,6 +1,8 @@
-"""One real process that holds the tables: filled change by change, or restarted from its store.
+"""One real process that holds the tables: filled by a stream of changes, or restarted from its store.
 
-`python -m tests.scale.tables.process fill STORE SHARE` and `... restart STORE SHARE`; prints one JSON object.
+`python -m tests.scale.tables.process fill STORE` reads frames from its standard input, `... restart STORE
+SHARE` looks up what a content of that share of the size has. Each prints one JSON object. While it is filled
+it holds no content but the view's: its memory is the interpreter, the modules and the tables.
 """
 
 from __future__ import annotations
@@ -11,24 +13,45 @@
 import random
 import sys
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from typing import BinaryIO
 
-from linenbridge.distribution.changes import Change, Version
-from linenbridge.distribution.decisions import Apply
+import msgspec
+from msgspec import Struct
+
+from linenbridge.distribution.decisions import Apply, ReplaceRange
 from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
 from linenbridge.distribution.view.view import View
 from linenbridge.routes.table import Request
-from tests.scale.tables.content import EPOCH, LONGEST, METHODS, REGIONS, Content, Size
+from tests.scale.tables.content import LONGEST, METHODS, REGIONS, SEED, Content, Size
 
-SEED = 1
-BATCH = 100  # changes that come into force together while the tables are filled
-LOOKUPS, CHANGES, SET_CHANGES = 20_000, 3_000, 100
+LOOKUPS, COLD_LOOKUPS = 20_000, 2_000
 COMPILED_SERVICES = 50  # whose routes are asked for again and again, and whose instances are in use
-RULES = 26
+LENGTH_BYTES = 4
+FILL = "fill"
 
 Times = list[float]
 
 
+class Frame(Struct, array_like=True, frozen=True):
+    """A batch or a whole range for the view; `what` is the name under which its cost is counted."""
+
+    what: str
+    batch: Apply | None = None
+    content: ReplaceRange | None = None
+
+
+def write_frame(stream: BinaryIO, frame: Frame) -> None:
+    words = msgspec.msgpack.encode(frame)
+    stream.write(len(words).to_bytes(LENGTH_BYTES, "big") + words)
+
+
+def read_frames(stream: BinaryIO) -> Iterator[Frame]:
+    while head := stream.read(LENGTH_BYTES):
+        yield msgspec.msgpack.decode(stream.read(int.from_bytes(head, "big")), type=Frame)
+
+
 def resident() -> int:
     """Bytes of this process in memory."""
     with open("/proc/self/statm") as file:
@@ -47,13 +70,9 @@
     ctypes.CDLL(None).malloc_trim(0)
 
 
-def new_view() -> View:
-    return View(METHODS, LONGEST)
-
-
 def opened(path: str) -> tuple[ViewStore, View]:
     store = ViewStore(path, fingerprint(method.name for method in METHODS), _told)
-    return store, restored(store, new_view)
+    return store, restored(store, lambda: View(METHODS, LONGEST))
 
 
 def _told(name: str, **fields: object) -> None:
@@ -63,71 +82,35 @@
 # ---- filling -----------------------------------------------------------------------------------------
 
 
-def batches(changes: Iterable[Change]) -> Iterator[Apply]:
-    """Changes of one region at a time, as they come from a relay."""
-    waiting: dict[str, list[Change]] = {region: [] for region in REGIONS}
-    for change in changes:
-        found = waiting[change.region]
-        found.append(change)
-        if len(found) == BATCH:
-            yield Apply(change.region, change.version, found)
-            waiting[change.region] = []
-    for region, found in waiting.items():
-        if found:
-            yield Apply(region, found[-1].version, found)
-
-
-def fill(view: View, store: ViewStore, changes: Iterable[Change]) -> float:
-    """All changes into the view and the store; processor seconds of the view for it."""
-    spent = 0
-    for batch in batches(changes):
-        began = time.thread_time_ns()
-        applied = view.apply(batch)
-        spent += time.thread_time_ns() - began
-        if applied.refused:
-            raise SystemExit(f"refused: {applied.refused[0]}")
-        store.write(view.dirty())
-    return spent / 1e9
-
-
-def filled(path: str, share: float) -> dict:
-    """The figures of a process whose tables were filled."""
-    content = Content(Size().scaled(share), SEED)
+def filled(path: str) -> dict:
+    """The figures of a process whose tables are filled from a stream."""
+    base = resident()
     store, view = opened(path)
-    told: dict = {"size": {name: getattr(content.size, name) for name in content.size.__struct_fields__}}
-    told["base"] = before = resident()
-    for name, changes in (
-        ("tenants", content.tenants()), ("instances", content.all_instances()), ("routes", content.routes())
-    ):  # fmt: skip
-        told[f"fill_{name}_s"] = fill(view, store, changes)
-    give_back()
-    told["filled"] = resident() - before  # The generator's own lists are in it too.
-    told["change"] = changed(view, store, content)
-    told["equal"] = all(view.digest(region) == content.digests[region] for region in REGIONS)
-    told["content"] = {"digests": content.digests, "instances": content.instances[:50]}
+    applying, storing = defaultdict[str, Times](list), defaultdict[str, Times](list)
+    after_fill = 0
+    for frame in read_frames(sys.stdin.buffer):
+        if frame.what != FILL and not after_fill:
+            after_fill = resident()
+        applying[frame.what].append(processor_time(lambda frame=frame: take(view, frame)))
+        storing[frame.what].append(processor_time(lambda: store.write(view.dirty())))
+    told = {
+        "base": base,
+        "filled": after_fill,
+        "fill_s": (sum(applying.pop(FILL)) + sum(storing.pop(FILL))) / 1e6,
+        "change": {what: spread(times) for what, times in applying.items()},
+        "store": {what: spread(times) for what, times in storing.items()},
+        "resident": resident(),
+        "highest": highest(),
+        "digests": {region: view.digest(region) for region in REGIONS},
+    }
     store.close()
-    told["file"] = os.path.getsize(path)
     return told
 
 
-def changed(view: View, store: ViewStore, content: Content) -> dict[str, dict]:
-    """What one change costs, of each kind, and its write to the store."""
-    told = {}
-    makers: tuple[tuple[str, Callable[[], Change], int], ...] = (
-        ("tenant", content.another_tenant, CHANGES),
-        ("instance", content.another_instance, CHANGES),
-        ("routes", lambda: content.another_route_set(RULES), SET_CHANGES),
-        ("zone", lambda: content.lost_zone(bool(random.getrandbits(1))), 20),
-    )
-    for name, make, count in makers:
-        applying, storing = [], []
-        for _ in range(count):
-            change = make()
-            batch = Apply(change.region, Version(EPOCH, change.sequence), [change])
-            applying.append(processor_time(lambda batch=batch: view.apply(batch)))
-            storing.append(processor_time(lambda: store.write(view.dirty())))
-        told[name], told[f"{name} stored"] = spread(applying), spread(storing)
-    return told
+def take(view: View, frame: Frame) -> None:
+    found = view.replace(frame.content) if frame.batch is None else view.apply(frame.batch)
+    if found.refused:
+        raise SystemExit(f"refused: {found.refused[0]}")
 
 
 # ---- looking up --------------------------------------------------------------------------------------
@@ -143,22 +126,34 @@
     if answer is None or view.tenant(content.tenant(0)) is None or not view.instances(first):
         raise SystemExit("the store holds nothing")
     told: dict = {"answered_at": time.monotonic_ns(), "base": base}
-    give_back()
     told["restored"] = resident()
+    give_back()
+    told["settled"] = resident()
     told["lookup"] = looked_up(view, content)
     told["after_lookups"], told["highest"] = resident(), highest()
     told["digests"] = {region: view.digest(region) for region in REGIONS}
-    told["compiled_bytes"] = view.by_authority.cost
+    told["pages"] = page_bytes(view)
     store.close()
     return told
 
 
+def page_bytes(view: View) -> dict[str, int]:
+    """Bytes of the packed pages, and of the sets compiled at present as they are counted."""
+    services = [pages for found in view.by_service.pages for pages in found.values()]
+    return {
+        "tenants": sum(map(len, view.by_tenant.pages)),
+        "routes": sum(len(page) for found in view.by_authority.pages for page in found.values()),
+        "instances": sum(len(page) for pages in services for page in pages),
+        "compiled": view.by_authority.cost,
+    }
+
+
 def looked_up(view: View, content: Content) -> dict[str, dict]:
     """Look-ups of each table, at random over all of it or over what is in use."""
     chosen = random.Random(SEED)
     names = [content.tenant(chosen.randrange(content.size.tenants)) for _ in range(LOOKUPS)]
     told = {"tenant": spread([processor_time(lambda name=name: view.tenant(name)) for name in names])}
-    cold = chosen.sample(content.services, min(2_000, len(content.services)))
+    cold = chosen.sample(content.services, min(COLD_LOOKUPS, len(content.services)))
     requests = [(name, request_of(view, name, chosen)) for name in cold]
     view.by_authority.clear()
     told["routes cold"] = spread([asked(view, *one) for one in requests])
@@ -216,5 +211,6 @@
 
 
 if __name__ == "__main__":
-    what, store_path, part = sys.argv[1:]
-    print(json.dumps({"fill": filled, "restart": restarted}[what](store_path, float(part))))
+    what, store_path, *rest = sys.argv[1:]
+    figures = filled(store_path) if what == "fill" else restarted(store_path, float(rest[0]))
+    print(json.dumps(figures))
