--- /dev/null
+++ b/tests/scale/traffic.py
@@ -0,0 +1,114 @@
+"""What is published in a scale test: the first content of the tables, and changes at the size's rates.
+
+Decides without I/O: the same seed and shape give the same changes. Rates are those of the installation's
+size (docs/capacity/size.toml): configuration changes and restarts a day, spread evenly, times a factor.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+
+from linenbridge.distribution.changes import InstanceValue, Kind, TenantValue, ZoneValue
+from linenbridge.interface import DRAINING, GONE, READY
+
+DAY = 86_400  # seconds
+SECOND = 1_000_000
+CHANGES_A_DAY, RESTARTS_A_DAY = 68_000, 72_000  # docs/capacity/size.toml
+RESTART_STEPS = (DRAINING, GONE, READY)  # what the list tells of one restarted instance
+OF_ROUTES = 0.7  # share of the configuration changes that change routes; the others change tenants
+
+_encode = msgspec.msgpack.encode
+
+
+@dataclass(frozen=True)
+class Shape:
+    """How much one region's tables hold. Zones have names of their own in each region."""
+
+    services: int = 4
+    instances: int = 5  # of each service
+    tenants: int = 20
+    zones: int = 3
+    rules: int = 3  # of each set of routes
+
+
+@dataclass(frozen=True)
+class Request:
+    """One change that an author asks for, at so many microseconds after the start."""
+
+    at: int
+    region: str
+    kind: int
+    name: str
+    value: bytes
+
+
+def service(region: str, number: int) -> str:
+    """The authority of a service: it belongs to its region by name."""
+    return f"s{number}.{region}.internal"
+
+
+def routes(mark: str, rules: int) -> bytes:
+    """A set of rules that all carry one mark, as the tenant that they name."""
+    lines = [
+        f'route r{number} {{ when path is "/{number}" method "get" tenant "{mark}" }}'
+        for number in range(rules)
+    ]
+    return "\n".join(lines).encode()
+
+
+def _instance(zone: str, state: int, build: int, started: int) -> bytes:
+    return _encode(InstanceValue(build, zone, "c1", state, 1.0, started, "127.0.0.1", 9))
+
+
+def first_content(shape: Shape, regions: list[str]) -> Iterator[Request]:
+    """Every key once."""
+    for region in regions:
+        for number in range(shape.services):
+            name = service(region, number)
+            yield Request(0, region, Kind.ROUTES, name, routes("m0", shape.rules))
+            for instance in range(shape.instances):
+                zone = f"{region}-{instance % shape.zones}"
+                yield Request(0, region, Kind.INSTANCE, f"{name}/i{instance}", _instance(zone, READY, 1, 0))
+        for tenant in range(shape.tenants):
+            yield Request(0, region, Kind.TENANT, f"t{tenant}.{region}", _encode(TenantValue(0.01)))
+
+
+def steady(seed: int, shape: Shape, regions: list[str], seconds: float, factor: float = 1.0) -> list[Request]:
+    """Changes and restarts at the size's rates for so long, in order of time. Restarted instances drain,
+    go and come back half a second apart."""
+    random = Random(f"steady {seed} {factor}")
+    requests = list[Request]()
+    for number in range(round(CHANGES_A_DAY / DAY * seconds * factor)):
+        at = round(random.uniform(0, seconds) * SECOND)
+        requests.append(
+            _configuration(random, shape, random.choice(regions), at, f"m{seed}-{factor:g}-{number}")
+        )
+    for number in range(round(RESTARTS_A_DAY / DAY * seconds * factor)):
+        at = round(random.uniform(0, seconds) * SECOND)
+        region = random.choice(regions)
+        name = service(region, random.randrange(shape.services))
+        instance = random.randrange(shape.instances)
+        zone = f"{region}-{instance % shape.zones}"
+        for step, state in enumerate(RESTART_STEPS):
+            value = _instance(zone, state, 1, number + 1)
+            requests.append(
+                Request(at + step * SECOND // 2, region, Kind.INSTANCE, f"{name}/i{instance}", value)
+            )
+    return sorted(requests, key=lambda request: request.at)
+
+
+def _configuration(random: Random, shape: Shape, region: str, at: int, mark: str) -> Request:
+    if random.random() < OF_ROUTES:
+        name = service(region, random.randrange(shape.services))
+        return Request(at, region, Kind.ROUTES, name, routes(mark, shape.rules))
+    tenant = f"t{random.randrange(shape.tenants)}.{region}"
+    return Request(at, region, Kind.TENANT, tenant, _encode(TenantValue(random.random())))
+
+
+def zone(region: str, number: int, at: int, lost: bool) -> Request:
+    """A whole zone lost or back: one change."""
+    return Request(at, region, Kind.ZONE, f"{region}-{number}", _encode(ZoneValue(lost)))
