--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -94,7 +95,7 @@
     """All that a gateway is given when it starts."""
 
     methods: tuple[Method, ...]
-    tenant_shares: dict[str, float]
+    tenant_shares: Mapping[str, float]
     plan: RolloutPlan
     allowances: Allowances
 
