Distribution: an author's command, and tests with processes on loopback

`linenbridge publish` checks a value, asks the candidates in turn and prints accepted, in force and who is unreached.

--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -109,6 +109,36 @@
     _run(settings_file, config, resp=False)
 
 
+@app.command()
+def publish(
+    settings_file: SettingsFile,
+    kind: Annotated[str, typer.Option(help="routes, tenant, instance or zone.")],
+    name: Annotated[str, typer.Option(help="The key: a service, tenant, service/instance, or zone.")],
+    value: Annotated[
+        Path | None,
+        typer.Option(help="A file: routes as text, all else as a JSON object."),
+    ] = None,
+    delete: Annotated[bool, typer.Option("--delete", help="Delete the key.")] = False,
+    region: Annotated[str, typer.Option(help="Which owns the key; without it, the settings' own.")] = "",
+    accepted_within: Annotated[float, typer.Option(help="Seconds to wait until it is accepted.")] = 30.0,
+    in_force_within: Annotated[float, typer.Option(help="Seconds more until it is in force.")] = 10.0,
+    as_json: AsJson = False,
+) -> None:
+    """Publish one change: prints when it is accepted and when it is in force, and who is not reached.
+
+    Exit codes: 0 in force everywhere, 1 accepted but not known to be in force everywhere, 2 refused or not
+    published, 3 unknown: it may be accepted later.
+    """
+    from linenbridge.cli.publish import Wanted, publish as ask
+
+    wanted = Wanted(kind, name, value, delete, region, accepted_within, in_force_within)
+    try:
+        code = ask(read(str(settings_file)), wanted, as_json)
+    except (ConfigurationError, ValueError, OSError) as error:
+        raise _refuse(error) from None
+    raise typer.Exit(code)
+
+
 @app.command()
 def sim() -> None:
     """The decision module on the bench's wire, on standard input and output."""
--- a/linenbridge/distribution/hosting/author.py
+++ b/linenbridge/distribution/hosting/author.py
@@ -10,7 +10,7 @@
 import os
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from linenbridge.distribution.configuration import Region
@@ -26,13 +26,12 @@
 
 @dataclass
 class Outcome:
-    """What is known of the change in the end. `maybe_kept`: it was sent, and nobody has refused it since."""
+    """What is known of the change in the end. `maybe_kept`: somebody may have kept it who did not say so."""
 
     accepted: Published | None = None
     in_force: Published | None = None
     refused: Published | None = None
     maybe_kept: bool = False
-    asked: set[str] = field(default_factory=set)
 
 
 class Author:
@@ -59,6 +58,7 @@
         if up and not self.waits_for:
             self._ask(far)
         elif not up and far == self.waits_for and not self._is_over():
+            self.outcome.maybe_kept = True
             self._ask_next()
 
     def _is_over(self) -> bool:
@@ -66,8 +66,6 @@
 
     def _ask(self, candidate: str) -> None:
         self.waits_for = candidate
-        self.outcome.asked.add(candidate)
-        self.outcome.maybe_kept = True
         self.links.say(candidate, self.change)
 
     def _ask_next(self) -> None:
@@ -96,16 +94,19 @@
                 self.said(published)
                 self.ended()
             case "refused" if published.code in TRY_ANOTHER:
-                self.outcome.maybe_kept = False
                 self._ask_next()
             case "refused":
                 self.outcome.refused = published
                 self.said(published)
                 self.ended()
             case _:
+                self.outcome.maybe_kept = True
                 self.said(published)
+                self._ask_next()
 
     def close(self) -> None:
+        """No more is waited for."""
+        self.outcome.maybe_kept |= bool(self.waits_for)
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.links.close()
--- a/linenbridge/distribution/hosting/gateway.py
+++ b/linenbridge/distribution/hosting/gateway.py
@@ -12,16 +12,17 @@
 from random import Random
 from typing import Any
 
-from linenbridge.distribution.changes import Change, Kind
+from linenbridge.distribution.changes import Change, Kind, Position
 from linenbridge.distribution.configuration import DistributionSettings
 from linenbridge.distribution.decisions import Apply, Decision, Dial, Event, HangUp, ReplaceRange, Send
 from linenbridge.distribution.follower import Follower
 from linenbridge.distribution.hosting.carrier import Carrier, Core
 from linenbridge.distribution.hosting.following import follower_settings, hear, relay_names, relay_places
+from linenbridge.distribution.hosting.methods import Methods
 from linenbridge.distribution.hosting.words import FOLLOWER_TAKES
 from linenbridge.distribution.hosting.writer import GroupWriter
 from linenbridge.distribution.view.results import Applied, StoredPage
-from linenbridge.distribution.view.store import ViewStore
+from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
 from linenbridge.distribution.view.view import View
 from linenbridge.fleet.hosting import clock
 from linenbridge.fleet.hosting.links import Links
@@ -199,3 +200,24 @@
     def _close_store(self, closed: Callable[[], None]) -> None:
         self.store.close()
         closed()
+
+
+def open_view(
+    settings: DistributionSettings, methods: Methods, log: Log, unix_offset: int = 0
+) -> tuple[View, ViewStore | None]:
+    """The view of the last life where the settings name a store that holds one, else a new one. `unix_offset`
+    is the view's."""
+
+    def new_view() -> View:
+        return View(methods.methods, methods.longest, unix_offset)
+
+    if not settings.store:
+        return new_view(), None
+    store = ViewStore(settings.store, fingerprint(method.name for method in methods.methods), log.event)
+    view = restored(store, new_view)
+    log.event("distribution.restored", positions=[_plain(position) for position in view.positions()])
+    return view, store
+
+
+def _plain(position: Position) -> dict[str, object]:
+    return {"region": position.region, "epoch": position.epoch, "sequence": position.sequence}
--- a/linenbridge/distribution/hosting/server.py
+++ b/linenbridge/distribution/hosting/server.py
@@ -13,15 +13,7 @@
 
 from linenbridge.configuration.read import Configuration, ConfigurationError
 from linenbridge.distribution.configuration import DistributionSettings, Role, distribution
-from linenbridge.distribution.errors import RelayStoreError
-from linenbridge.distribution.hosting.gateway import Gateway
 from linenbridge.distribution.hosting.methods import Methods, methods_of
-from linenbridge.distribution.hosting.publisher import PublisherProcess
-from linenbridge.distribution.hosting.relay import Relay
-from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
-from linenbridge.distribution.view.values import ValueChecks
-from linenbridge.distribution.view.view import View
-from linenbridge.fleet.configuration import fleet
 from linenbridge.logging.log import structured
 from linenbridge.net.log import Log
 from linenbridge.process import lifetime
@@ -64,43 +56,47 @@
 def _process(
     configuration: Configuration, settings: DistributionSettings, methods: Methods, reactor: Any, log: Log
 ) -> Process:
+    """A process imports what its role needs."""
     random = Random(secrets.randbits(64))
     match settings.role:
         case Role.RELAY:
             return _relay(settings, reactor, log, random)
         case Role.PUBLISHER:
-            told = fleet(configuration)
-            if told is None:
-                raise ConfigurationError(f"{configuration.path}: a publisher needs the element fleet")
-            check = ValueChecks(methods.methods, methods.longest)
-            return PublisherProcess(settings, told, reactor, log, check, random)
-    view, store = open_view(settings, methods, log)
-    return Gateway(settings, reactor, log, view, random, store)
+            return _publisher(configuration, settings, methods, reactor, log, random)
+        case Role.GATEWAY:
+            return _gateway(settings, methods, reactor, log, random)
 
 
-def _relay(settings: DistributionSettings, reactor: Any, log: Log, random: Random) -> Relay:
+def _relay(settings: DistributionSettings, reactor: Any, log: Log, random: Random) -> Process:
     """A relay whose disk cannot be used does not start: the others go on without it."""
+    from linenbridge.distribution.errors import RelayStoreError
+    from linenbridge.distribution.hosting.relay import Relay
+
     try:
         return Relay(settings, reactor, log, random)
     except RelayStoreError as error:
         raise ConfigurationError(str(error)) from None
 
 
-def open_view(
-    settings: DistributionSettings, methods: Methods, log: Log, unix_offset: int = 0
-) -> tuple[View, ViewStore | None]:
-    """The view of the last life where the settings name a store that holds one, else a new one."""
+def _publisher(
+    configuration: Configuration, settings: DistributionSettings, methods: Methods, reactor: Any, log: Log,
+    random: Random,
+) -> Process:  # fmt: skip
+    from linenbridge.distribution.hosting.publisher import PublisherProcess
+    from linenbridge.distribution.view.values import ValueChecks
+    from linenbridge.fleet.configuration import fleet
 
-    def new_view() -> View:
-        return View(methods.methods, methods.longest, unix_offset)
+    told = fleet(configuration)
+    if told is None:
+        raise ConfigurationError(f"{configuration.path}: a publisher needs the element fleet")
+    check = ValueChecks(methods.methods, methods.longest)
+    return PublisherProcess(settings, told, reactor, log, check, random)
 
-    if not settings.store:
-        return new_view(), None
-    store = ViewStore(settings.store, fingerprint(method.name for method in methods.methods), log.event)
-    view = restored(store, new_view)
-    log.event("distribution.restored", positions=[list(_words(each)) for each in view.positions()])
-    return view, store
 
+def _gateway(
+    settings: DistributionSettings, methods: Methods, reactor: Any, log: Log, random: Random
+) -> Process:
+    from linenbridge.distribution.hosting.gateway import Gateway, open_view
 
-def _words(position: Any) -> tuple[str, int, int]:
-    return position.region, position.epoch, position.sequence
+    view, store = open_view(settings, methods, log)
+    return Gateway(settings, reactor, log, view, random, store)
--- /dev/null
+++ b/tests/distribution/hosting/processes.py
@@ -0,0 +1,48 @@
+"""Processes of the program for tests: each a real one with its own memory and signals, begun by a fork of one
+that has loaded the program, so that a test does not wait for imports.
+
+Owns how they are begun. What a process is told is what an operator types; nothing in it is replaced.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from multiprocessing import get_context
+from multiprocessing.process import BaseProcess
+from pathlib import Path
+
+CONTEXT = get_context("forkserver")
+CONTEXT.set_forkserver_preload(
+    [
+        "linenbridge.cli.commands",
+        "linenbridge.cli.publish",
+        "linenbridge.distribution.hosting.server",
+        "linenbridge.distribution.hosting.relay",
+        "linenbridge.distribution.hosting.publisher",
+        "linenbridge.distribution.hosting.gateway",
+        "linenbridge.fleet.hosting.witness",
+        "tests.distribution.hosting.processes",
+    ]
+)
+
+
+def _run(words: list[str], folder: str, out: str, error: str) -> None:
+    """In the new process: `python -m linenbridge WORDS` in a folder, its output appended to two files."""
+    from linenbridge.__main__ import main
+
+    os.chdir(folder)
+    for path, number in ((out, 1), (error, 2)):
+        file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o644)
+        os.dup2(file, number)
+        os.close(file)
+    os.environ.pop("LB_CONFIG", None)
+    sys.argv = ["linenbridge", *words]
+    sys.exit(main())
+
+
+def begin(words: list[str], folder: Path, out: Path, error: Path) -> BaseProcess:
+    """A process that runs; it is killed, should the test's process end before it."""
+    process = CONTEXT.Process(target=_run, args=(words, str(folder), str(out), str(error)), daemon=True)
+    process.start()
+    return process
--- /dev/null
+++ b/tests/distribution/hosting/test_processes.py
@@ -0,0 +1,274 @@
+"""Relays, publishers, gateways and authors as processes on loopback: starts, kills, stops and strangers."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import struct
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from tests.distribution.hosting.installation import ROUTES, Installation
+
+# After a publisher is lost: its lease, what clocks run apart, beats of those that wait, the reading of the
+# logs, and the machine's own delays.
+REPLACED_WITHIN = 8.0
+MADE_GOOD_WITHIN = 4.0  # after a relay's death; docs/distribution.md
+IN_FORCE_WITHIN = 4.0
+INSTANCE = {
+    "build": 3, "zone": "a", "cell": "c1", "state": 1, "size": 4.0, "started": 1, "host": "127.0.0.1",
+    "port": 9,
+}  # fmt: skip
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Installation]:
+    """One installation for all tests that leave it whole: a start is most of what a test costs."""
+    found = Installation(tmp_path_factory.mktemp("installation"))
+    try:
+        yield found
+    finally:
+        found.close()
+
+
+@pytest.fixture
+def installation(shared: Installation) -> Installation:
+    """All of it running, with a publisher, and everybody reached."""
+    make_whole(shared)
+    return shared
+
+
+def make_whole(found: Installation) -> None:
+    """Whoever is stopped or away is brought back, and all have what the last test published."""
+    for name in list(found.stopped):
+        found.wake(name)
+    away = [name for name in found.everybody() if name not in found.running]
+    found.start(*away)
+    found.up(*away)
+    found.until(lambda: found.publisher() != "", "a publisher")
+    found.until(lambda: publish_to_all(found), "everybody to be reached")
+
+
+def publish_to_all(found: Installation) -> bool:
+    return found.publish("whole", ROUTES.format(soft=1)).code == 0
+
+
+def publish(installation: Installation, name: str, soft: int) -> int:
+    """A change that is accepted and in force; its sequence."""
+    told = installation.publish(name, ROUTES.format(soft=soft), "--json")
+    rows = [json.loads(line) for line in told.lines]
+    assert told.code == 0, told
+    assert [row["state"] for row in rows] == ["accepted", "in_force"]
+    return rows[0]["version"]["sequence"]
+
+
+def everywhere(installation: Installation, sequence: int) -> float:
+    """How long until all gateways have said that it is in force."""
+    return installation.until(
+        lambda: all(installation.in_force(gateway) >= sequence for gateway in installation.gateways),
+        f"sequence {sequence} everywhere",
+    )
+
+
+def test_an_author_is_told_of_each_kind_and_gateways_have_it_in_force(installation):
+    told = installation.publish("shop", ROUTES.format(soft=300))
+    assert told.code == 0 and [line.split()[0] for line in told.lines] == ["accepted", "in"], told
+    assert installation.publish("acme", '{"share": 0.25}', kind="tenant").code == 0
+    assert installation.publish("shop/1", json.dumps(INSTANCE), kind="instance").code == 0
+    assert installation.publish("a", '{"lost": true}', kind="zone").code == 0
+    assert installation.publish("acme", "", "--delete", kind="tenant").code == 0
+    versions = {gateway: installation.in_force(gateway) for gateway in installation.gateways}
+    assert len(set(versions.values())) == 1 and min(versions.values()) >= 5, versions
+
+
+@pytest.mark.parametrize(
+    ("kind", "value", "words"),
+    [
+        ("routes", 'route a { when always method "fly" }', "1:30: no method is named"),
+        ("tenant", '{"share": 2.0}', "a share is 0 to 1"),
+        ("tenant", '{"part": 0.1}', "no field share; add it"),
+        ("tenant", '{"share": 0.1, "more": 1}', "unknown fields more; remove them"),
+        ("zone", "no JSON", "mend the value"),
+        ("planet", "{}", "no kind is named planet; name one of routes"),
+    ],
+)
+def test_an_author_hears_what_is_wrong_with_a_value_before_it_is_sent(tmp_path, kind, value, words):
+    """No process of the installation runs."""
+    told = Installation(tmp_path).publish("shop", value, kind=kind)
+    assert told.code == 2 and words in told.error, told
+
+
+def test_an_author_whom_no_publisher_answers_hears_so(tmp_path):
+    told = Installation(tmp_path).publish("shop", ROUTES.format(soft=1), "--accepted-within", "0.5")
+    assert told.code == 2 and "no publisher of eu took it; ask another candidate" in told.lines[-1], told
+
+
+def test_a_publisher_that_was_stopped_and_replaced_brings_nothing_of_its_old_epoch_about(installation):
+    first = publish(installation, "shop", 100)
+    old = installation.publisher()
+    new = next(name for name in installation.publishers if name != old)
+    installation.pause(old)
+    waiting = installation.begin_publish("shop", ROUTES.format(soft=200), "--json")
+    took = installation.until(lambda: installation.publisher_of(new), f"{new} to publish", REPLACED_WITHIN)
+    told = installation.told(waiting)
+    rows = [json.loads(line) for line in told.lines]
+    assert told.code == 0 and [row["state"] for row in rows] == ["accepted", "in_force"], told
+    epoch = rows[0]["version"]["epoch"]
+    installation.wake(old)
+    installation.until(lambda: not installation.publisher_of(old), f"{old} to say that it has stopped", 5.0)
+    last = publish(installation, "shop", 300)
+    assert last > rows[0]["version"]["sequence"] > first
+    everywhere(installation, last)
+    for gateway in installation.gateways:
+        epochs = [row["epoch"] for row in installation.events(gateway, "distribution.in_force")]
+        assert epochs == sorted(epochs) and epochs[-1] == epoch
+    for relay in installation.relays:
+        promised = [row["epoch"] for row in installation.events(relay, "distribution.promised")]
+        assert promised == sorted(set(promised)), "a relay promised an older epoch after a newer one"
+    print(f"\na stopped publisher: replaced after {took:.2f} s, bound {REPLACED_WITHIN:.0f} s")
+
+
+def test_a_killed_relays_gateways_go_on_at_another_and_it_comes_back(installation):
+    publish(installation, "shop", 100)
+    relay = installation.followed_by("g-1")
+    installation.kill(relay)
+    took = installation.until(
+        lambda: installation.followed_by("g-1") not in ("", relay), "g-1 to follow another", MADE_GOOD_WITHIN
+    )
+    sequence = publish_without(installation, "shop", 200, unreached=relay)
+    assert everywhere(installation, sequence) < IN_FORCE_WITHIN
+    installation.start(relay)
+    installation.up(relay)
+    installation.until(lambda: installation.has_joined(relay), f"{relay} to count again")
+    publish(installation, "shop", 300)
+    print(f"\na killed relay: made good after {took:.2f} s, bound {MADE_GOOD_WITHIN:.0f} s")
+
+
+def publish_without(installation: Installation, name: str, soft: int, unreached: str) -> int:
+    """A change that is accepted, and in force but for one that is away; its sequence."""
+    told = installation.publish(name, ROUTES.format(soft=soft), "--json")
+    rows = [json.loads(line) for line in told.lines]
+    assert told.code == 1 and rows[-1]["state"] == "in_force", told
+    assert unreached in rows[-1]["unreached"]
+    return rows[-1]["version"]["sequence"]
+
+
+@pytest.mark.parametrize("store", ["kept", "emptied"])
+def test_a_gateway_restarted_has_what_is_in_force(installation, store):
+    for number in range(1, 4):
+        publish(installation, f"shop-{number}", 100 + number)
+    time.sleep(1.5)  # the view's pages are written within a second
+    installation.kill("g-2")
+    if store == "emptied":
+        for file in installation.folder.glob("g-2.db*"):
+            file.unlink()
+    last = publish_without(installation, "shop-1", 300, unreached="g-2")
+    installation.start("g-2")
+    installation.up("g-2")
+    (restored,) = installation.events("g-2", "distribution.restored")
+    assert bool(restored["positions"]) == (store == "kept")
+    installation.until(lambda: installation.in_force("g-2") >= last, "g-2 to have all")
+    taken = sum(row["changes"] for row in installation.events("g-2", "distribution.in_force"))
+    assert taken == 1 if store == "kept" else taken >= 4, "it asks for what it missed only"
+
+
+@pytest.mark.parametrize("to", ["relay", "publisher"])
+def test_noise_and_strangers_cost_only_their_own_connections(installation, to):
+    publish(installation, "shop", 100)
+    port = installation.ports["eu-1" if to == "relay" else installation.publisher()]
+    noises = [
+        b"GET / HTTP/1.1\r\n\r\n" * 50,
+        os.urandom(4_000),
+        amp_box(name=b"\xff\xfe"),
+        amp_box(name=b"x y"),
+    ]
+    noises += [amp_box(name=b"g-9") + amp_word(word) for word in (b"", b"\x93\xa6follow", os.urandom(900))]
+    for noise in noises:
+        with socket.create_connection(("127.0.0.1", port), 5) as stranger:
+            stranger.settimeout(8)
+            stranger.sendall(noise)
+            assert ended(stranger), f"{noise[:20]!r} did not cost its connection"
+    assert publish(installation, "shop", 200)
+    assert not [row for name in installation.running for row in installation.events(name, "failed")]
+
+
+def amp_box(**values: bytes) -> bytes:
+    """A greeting as AMP writes it."""
+    return _box({b"_command": b"Meet", **{key.encode(): value for key, value in values.items()}})
+
+
+def amp_word(word: bytes) -> bytes:
+    return _box({b"_command": b"Say", b"word": word})
+
+
+def _box(pairs: dict[bytes, bytes]) -> bytes:
+    rows = [struct.pack(">H", len(part)) + part for pair in pairs.items() for part in pair]
+    return b"".join(rows) + b"\0\0"
+
+
+def ended(stranger: socket.socket) -> bool:
+    """Whether the far end ends the connection within the socket's time-out."""
+    try:
+        while stranger.recv(4096):
+            pass
+    except ConnectionResetError:
+        return True
+    except TimeoutError:
+        return False
+    return True
+
+
+def test_a_gateway_that_stands_still_costs_nobody_else_anything_and_catches_up(installation):
+    publish(installation, "shop", 100)
+    installation.pause("g-2")
+    told = installation.publish("shop", ROUTES.format(soft=200), "--json")
+    rows = [json.loads(line) for line in told.lines]
+    assert rows[0]["state"] == "accepted"
+    assert installation.in_force("g-1") >= rows[0]["version"]["sequence"]
+    if rows[-1]["state"] == "in_force":
+        assert told.code == 1 and "g-2" in rows[-1]["unreached"], told
+    installation.wake("g-2")
+    sequence = publish(installation, "shop", 300)
+    assert everywhere(installation, sequence) < IN_FORCE_WITHIN
+
+
+def test_a_majority_away_accepts_nothing_and_says_so(installation):
+    """Last of those that share the installation: the two begin with lives that nobody knows yet."""
+    publish(installation, "shop", 100)
+    for relay in installation.relays[:2]:
+        installation.kill(relay)
+    told = installation.publish("shop", ROUTES.format(soft=200), "--accepted-within", "2")
+    assert told.code == 3 and "it may be accepted later; bring back relays" in told.lines[-1], told
+
+
+def test_another_regions_relays_and_gateways_have_it_too(tmp_path):
+    found = Installation(tmp_path, gateways=1, others=("us-1", "us-2"))
+    words = f'role="gateway" name="g-us" region="us" platform="{found.platform}"'
+    found.write("g-us", found.distribution(words))
+    found.gateways.append("g-us")
+    try:
+        everybody = found.everybody()
+        found.start(*everybody)
+        found.up(*everybody)
+        found.until(lambda: found.publisher() != "", "a publisher")
+        sequence = publish(found, "shop", 100)
+        assert everywhere(found, sequence) < IN_FORCE_WITHIN
+        assert found.followed_by("g-us").startswith("us-")
+    finally:
+        found.close()
+
+
+def test_a_relay_whose_disk_cannot_be_used_does_not_start(tmp_path):
+    found = Installation(tmp_path)
+    (tmp_path / "eu-1").rmdir()
+    found.start("eu-1")
+    process = found.running["eu-1"]
+    try:
+        process.join(60)
+        assert process.exitcode == 2
+        assert "no folder" in (tmp_path / "eu-1.log").read_text()
+    finally:
+        found.close()
