--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -19,7 +19,7 @@
 from twisted.internet.protocol import Factory
 from twisted.protocols import amp
 
-from linenbridge.fleet.leases.words import Word
+from linenbridge.fleet.leases.messages import Message
 from linenbridge.net.log import Log
 
 WORD_MOST = 60_000  # AMP's values end at 65,535 bytes
@@ -28,7 +28,7 @@
 WELL_FORMED = re.compile(r"[A-Za-z0-9][A-Za-z0-9._\-]{0,62}")  # the schema's type `name`
 ANY = "any"  # stands for all names in the counters where names are not in the settings
 
-_encode, _decode = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Word)
+_encode, _decode = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
 
 class Meet(amp.Command):
@@ -206,20 +206,20 @@
         else:
             self.log.rarely(event, ANY, far=far, **fields)
 
-    def dial(self, seat: str, address: tuple[str, int]) -> None:
-        """Keep a link to a seat; it is taken up again after a while of chance, ever longer."""
-        if seat in self.dialled and self.dialled[seat][1] == address:
+    def dial(self, far: str, address: tuple[str, int]) -> None:
+        """Keep a link to a process; it is taken up again after a while of chance, ever longer."""
+        if far in self.dialled and self.dialled[far][1] == address:
             return
-        self.drop(seat)
+        self.drop(far)
         endpoint = TCP4ClientEndpoint(self.reactor, *address, timeout=CONNECT_WAIT)
         policy = backoffPolicy(initialDelay=AGAIN_FROM, maxDelay=AGAIN_MOST)
         service = ClientService(endpoint, self, retryPolicy=policy, clock=self.reactor)
-        self.dialled[seat] = service, address
+        self.dialled[far] = service, address
         service.startService()
 
-    def drop(self, seat: str) -> None:
-        if seat in self.dialled:
-            self.dialled.pop(seat)[0].stopService()
+    def drop(self, far: str) -> None:
+        if far in self.dialled:
+            self.dialled.pop(far)[0].stopService()
 
     def met(self, link: Link) -> None:
         """The newest connection of a name is the one that is written to."""
@@ -247,8 +247,8 @@
         link.callRemote(Say, word=data)
 
     def close(self) -> None:
-        for seat in list(self.dialled):
-            self.drop(seat)
+        for far in list(self.dialled):
+            self.drop(far)
         for link in list(self.open):
             link.transport.loseConnection()
 
