--- a/linenbridge/fleet/hosting/links.py
+++ b/linenbridge/fleet/hosting/links.py
@@ -1,8 +1,10 @@
-"""Links between processes: words over Twisted's AMP, one connection from each dialler to each one dialled.
+"""Links between processes: messages over Twisted's AMP, one connection from each dialler to each one
+dialled.
 
-Owns the connections and who is at their far ends. A peer that sends what is no word costs its own
-connection, and one that reads nothing costs a bounded queue of unsent bytes, then its connection. It must
-never look into a word beyond its form, nor retry one: the cores ask anew by themselves.
+Owns the connections and knows the process at the far end of each. A peer that sends something else costs
+its own connection, and one that reads nothing costs a bounded queue of unsent bytes, then its connection.
+It must never look into a message beyond its form, nor send one again: the cores repeat requests by
+themselves.
 """
 
 from __future__ import annotations
@@ -32,14 +34,14 @@
 
 
 class Meet(amp.Command):
-    """Who is at this end, once, before any word."""
+    """The name of the member at this end, sent once before any message."""
 
     arguments = [(b"name", amp.Unicode())]
     requiresAnswer = False
 
 
 class Say(amp.Command):
-    """One word of a core."""
+    """One message of a core."""
 
     arguments = [(b"word", amp.String())]
     requiresAnswer = False
@@ -52,8 +54,8 @@
 
 
 class WellFormedNames:
-    """The rule for links of processes that no settings list: any well-formed name that begins with `prefix`.
-    The links that use it need a bound on connections."""
+    """The rule for links of processes that no settings list: any well-formed name that begins with
+    `prefix`. The links that use it need a bound on connections."""
 
     def __init__(self, prefix: str = "") -> None:
         self.prefix = prefix
@@ -168,11 +170,12 @@
 
 
 class Links(Factory):
-    """All links of one process. `hear(far, word)` is called for each word; `known` are the others by name.
+    """All links of one process. `hear(far, message)` is called for each message; `known` are the others'
+    names.
 
-    `decoder` is that of the words that are understood; `connections` bounds how many stand at once (without
-    it, as many as the names known can have any use for); `changed(far, up)` is told when the first link of a
-    name is met and when its last is lost.
+    `decoder` is that of the messages that are understood; `connections` bounds how many stand at once
+    (without it, as many as the names known can have any use for); `changed(far, up)` is told when the
+    first link of a name is met and when its last is lost.
     """
 
     noisy = False
@@ -192,7 +195,7 @@
         self.dialled: dict[str, tuple[ClientService, tuple[str, int]]] = {}
 
     def buildProtocol(self, addr: Any) -> Link | None:
-        """No more connections at once than the bound."""
+        """Accept a connection, unless as many are open as the bound."""
         most = 4 * len(self.known) + 16 if self.connections is None else self.connections
         if len(self.open) >= most:
             self.log.rarely("link.too_many", "all")
@@ -206,23 +209,25 @@
         else:
             self.log.rarely(event, ANY, far=far, **fields)
 
-    def dial(self, far: str, address: tuple[str, int]) -> None:
-        """Keep a link to a process; it is taken up again after a while of chance, ever longer."""
-        if far in self.dialled and self.dialled[far][1] == address:
+    def dial(self, acceptor: str, address: tuple[str, int]) -> None:
+        """Keep a connection to a process; after a failure it is opened again with exponential backoff and
+        jitter."""
+        if acceptor in self.dialled and self.dialled[acceptor][1] == address:
             return
-        self.drop(far)
+        self.drop(acceptor)
         endpoint = TCP4ClientEndpoint(self.reactor, *address, timeout=CONNECT_WAIT)
         policy = backoffPolicy(initialDelay=AGAIN_FROM, maxDelay=AGAIN_MOST)
         service = ClientService(endpoint, self, retryPolicy=policy, clock=self.reactor)
-        self.dialled[far] = service, address
+        self.dialled[acceptor] = service, address
         service.startService()
 
-    def drop(self, far: str) -> None:
-        if far in self.dialled:
-            self.dialled.pop(far)[0].stopService()
+    def drop(self, acceptor: str) -> None:
+        """Close the connection to an acceptor and don't open it again."""
+        if acceptor in self.dialled:
+            self.dialled.pop(acceptor)[0].stopService()
 
     def met(self, link: Link) -> None:
-        """The newest connection of a name is the one that is written to."""
+        """The far end has named itself: the newest connection of a name is the one that is written to."""
         first = link.far not in self.to
         self.to[link.far] = link
         self.rarely("link.up", link.far)
@@ -230,6 +235,7 @@
             self.changed(link.far, True)
 
     def lost(self, link: Link) -> None:
+        """A connection has closed."""
         self.open.discard(link)
         if self.to.get(link.far) is link:
             del self.to[link.far]
@@ -237,7 +243,7 @@
             self.changed(link.far, False)
 
     def say(self, to: str, word: Any) -> None:
-        """To a name that is there; else it is lost, as on any network."""
+        """Send a message to a member; without a connection it is lost, as on any network."""
         link, data = self.to.get(to), _encode.encode(word)
         if link is None or link.transport is None:
             return
@@ -247,12 +253,13 @@
         link.callRemote(Say, word=data)
 
     def close(self) -> None:
-        for far in list(self.dialled):
-            self.drop(far)
+        """Close all connections."""
+        for acceptor in list(self.dialled):
+            self.drop(acceptor)
         for link in list(self.open):
             link.transport.loseConnection()
 
 
 def later(reactor: Any, call: Callable[..., None], *args: object) -> None:
-    """A word to oneself takes the same way round the reactor as any other."""
+    """Deliver a message to this member itself by the reactor, as any other is."""
     reactor.callLater(0, partial(call, *args))
