--- a/linenbridge/distribution/hosting/author.py
+++ b/linenbridge/distribution/hosting/author.py
@@ -106,7 +106,7 @@
 
     def close(self) -> None:
         """No more is waited for."""
-        self.outcome.maybe_kept |= bool(self.waits_for)
+        self.outcome.maybe_kept |= bool(self.waits_for) and not self._is_over()
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.links.close()
--- /dev/null
+++ b/tests/distribution/hosting/standins.py
@@ -0,0 +1,53 @@
+"""Stand-ins for a reactor and its threads, in memory: what is put to a thread runs when the test says so.
+
+Owns nothing of the program. Its clock is the reactor's; the fleet's clock is the machine's.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
+
+
+class StandinThreads:
+    """A pool whose calls wait until `run_all`."""
+
+    def __init__(self) -> None:
+        self.calls: list[Callable[[], None]] = []
+
+    def callInThreadWithCallback(  # noqa: N802
+        self, on_result: Callable[[bool, Any], None], function: Callable, *words: Any, **more: Any
+    ) -> None:
+        def run() -> None:
+            try:
+                result = True, function(*words, **more)
+            except Exception:
+                result = False, Failure()
+            on_result(*result)
+
+        self.calls.append(run)
+
+    def run_all(self) -> int:
+        """How many calls there were; those that they bring about run too."""
+        count = 0
+        while self.calls:
+            self.calls.pop(0)()
+            count += 1
+        return count
+
+
+class StandinReactor(MemoryReactorClock):
+    """With threads; a call from one of them is made at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.threads = StandinThreads()
+
+    def getThreadPool(self) -> StandinThreads:  # noqa: N802
+        return self.threads
+
+    def callFromThread(self, function: Callable, *words: Any, **more: Any) -> None:  # noqa: N802
+        function(*words, **more)
