--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -221,9 +221,13 @@
         typer.Option("--config", "-c", help="Check the routes' methods against it.", envvar="LB_CONFIG"),
     ] = None,
 ) -> None:
-    """Check the file by its schema, and its routes where a configuration is given."""
+    """Check the file by its schema and its parts, and its routes where a configuration is given."""
+    from linenbridge.distribution.configuration import distribution
+
     try:
-        told = processor_settings(read(str(settings_file)))
+        configuration = read(str(settings_file))
+        told = processor_settings(configuration)
+        distribution(configuration)
     except ConfigurationError as error:
         raise _refuse(error) from None
     if config is not None and told is not None:
@@ -249,7 +253,7 @@
 
 def shown(configuration: Configuration) -> dict[str, object]:
     """The settings in force, by dotted names; times in microseconds."""
-    rows: dict[str, object] = {"log.level": configuration.log_level}
+    rows: dict[str, object] = {"log.level": configuration.log_level, **_distribution_rows(configuration)}
     if (told := processor_settings(configuration)) is None:
         return rows
     rows |= {
@@ -269,6 +273,22 @@
     return rows
 
 
+def _distribution_rows(configuration: Configuration) -> dict[str, object]:
+    """The element `distribution`, where there is one: rates in bytes a second."""
+    from linenbridge.distribution.configuration import distribution
+
+    told = distribution(configuration)
+    if told is None:
+        return {}
+    rows: dict[str, object] = {
+        f"distribution.{name}": getattr(told, name) for name in told.__slots__ if name != "regions"
+    }
+    for name, region in told.regions.items():
+        rows[f"distribution.region.{name}.relays"] = " ".join(region.relays)
+        rows[f"distribution.region.{name}.publishers"] = " ".join(region.publishers)
+    return rows
+
+
 @settings.command("schema")
 def settings_schema() -> None:
     """Print the schema (XSD), for editors and other checkers."""
--- a/tests/distribution/hosting/test_configuration.py
+++ b/tests/distribution/hosting/test_configuration.py
@@ -8,8 +8,11 @@
 
 import pytest
 
-from linenbridge.configuration.read import ConfigurationError, parse
+from linenbridge.cli.commands import shown
+from linenbridge.configuration.read import ConfigurationError, parse, read
 from linenbridge.distribution.configuration import Role, distribution
+from linenbridge.distribution.hosting.methods import methods_of
+from linenbridge.fleet.configuration import fleet as fleet_of
 
 ROOT = Path(__file__).parents[3]
 EU = (
@@ -106,6 +109,18 @@
         parse(file(words), "x.xml")
 
 
+@pytest.mark.parametrize("name", ["relay", "publisher", "gateway"])
+def test_the_examples_are_good_settings(name):
+    configuration = read(str(ROOT / "examples" / "distribution" / f"{name}.xml"))
+    found = distribution(configuration)
+    assert found.role == name and len(found.home.relays) == 3
+    rows = shown(configuration)
+    assert rows["distribution.rate"] == 14_000 and rows["distribution.region.us.publishers"] == "us-p1 us-p2"
+    assert (fleet_of(configuration) is not None) == (name == "publisher")
+    if found.platform:
+        assert methods_of(found).methods
+
+
 def test_a_process_with_wrong_settings_ends_with_2(tmp_path):
     (tmp_path / "x.xml").write_bytes(file(RELAY.replace("eu-1", "eu-9", 1)))
     run = subprocess.run(
--- a/tests/distribution/hosting/test_processes.py
+++ b/tests/distribution/hosting/test_processes.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from linenbridge.distribution.store.log import RelayLog
 from tests.distribution.hosting.installation import ROUTES, Installation
 
 # After a publisher is lost: its lease, what clocks run apart, beats of those that wait, the reading of the
@@ -131,20 +132,27 @@
     print(f"\na stopped publisher: replaced after {took:.2f} s, bound {REPLACED_WITHIN:.0f} s")
 
 
-def test_a_killed_relays_gateways_go_on_at_another_and_it_comes_back(installation):
+@pytest.mark.parametrize("how", ["killed", "stopped"])
+def test_a_lost_relays_gateways_go_on_at_another_and_it_comes_back(installation, how):
     publish(installation, "shop", 100)
     relay = installation.followed_by("g-1")
-    installation.kill(relay)
+    if how == "killed":
+        installation.kill(relay)
+    else:
+        installation.pause(relay)
     took = installation.until(
         lambda: installation.followed_by("g-1") not in ("", relay), "g-1 to follow another", MADE_GOOD_WITHIN
     )
     sequence = publish_without(installation, "shop", 200, unreached=relay)
     assert everywhere(installation, sequence) < IN_FORCE_WITHIN
-    installation.start(relay)
-    installation.up(relay)
-    installation.until(lambda: installation.has_joined(relay), f"{relay} to count again")
-    publish(installation, "shop", 300)
-    print(f"\na killed relay: made good after {took:.2f} s, bound {MADE_GOOD_WITHIN:.0f} s")
+    if how == "killed":
+        installation.start(relay)
+        installation.up(relay)
+        installation.until(lambda: installation.has_joined(relay), f"{relay} to count again")
+    else:
+        installation.wake(relay)
+    make_whole(installation)
+    print(f"\na {how} relay: made good after {took:.2f} s, bound {MADE_GOOD_WITHIN:.0f} s")
 
 
 def publish_without(installation: Installation, name: str, soft: int, unreached: str) -> int:
@@ -244,6 +252,22 @@
     assert told.code == 3 and "it may be accepted later; bring back relays" in told.lines[-1], told
 
 
+def test_in_the_end_the_relays_logs_agree_and_no_older_epoch_follows_a_newer_one(installation):
+    """Ends the installation that the tests before have shared."""
+    installation.close()
+    logs = [RelayLog(str(installation.folder / relay), "eu").read() for relay in installation.relays]
+    committed = min(kept.committed for kept in logs)
+    newest = []
+    for kept in logs:
+        versions = [change.version for change in kept.changes]
+        assert versions == sorted(versions) and len({v.sequence for v in versions}) == len(versions)
+        newest.append({change.key: change for change in kept.changes if change.sequence <= committed})
+    superseded = {change.key for kept in logs for change in kept.changes if change.sequence > committed}
+    for key in set().union(*newest) - superseded:
+        assert len({found.get(key) for found in newest}) == 1, f"the relays differ at {key}"
+    assert max(change.epoch for change in logs[0].changes) > 1
+
+
 def test_another_regions_relays_and_gateways_have_it_too(tmp_path):
     found = Installation(tmp_path, gateways=1, others=("us-1", "us-2"))
     words = f'role="gateway" name="g-us" region="us" platform="{found.platform}"'
