--- a/linenbridge/distribution/sessions.py
+++ b/linenbridge/distribution/sessions.py
@@ -29,11 +29,13 @@
 
 @dataclass(slots=True)
 class Cursor:
-    """What a follower has been sent of one region."""
+    """What a follower has been sent of one region. `told` is the head at which it was last told the digest,
+    or that it is behind the horizon."""
 
     region: str
     version: Version = START
     transfer: Transfer | None = None
+    told: Version | None = None
 
 
 class Session:
@@ -64,6 +66,6 @@
         self.sent_at = now
 
     def turn(self) -> Cursor:
-        """The regions take turns, so that a long transfer of one does not hold up the others."""
+        """The regions take turns with their heartbeats."""
         self._order.rotate(-1)
         return self.cursors[self._order[-1]]
