Distribution: deletions in a region's log are let go once every relay has them

The publisher lets the older half of 50,000 deletions go, up to what every relay has committed on its disk; a disk put back from before takes its relay out with a word of what to do, a part of an earlier fill is dropped when the region is sent from its beginning, and a publisher that comes back reads anew.

--- a/linenbridge/distribution/decisions.py
+++ b/linenbridge/distribution/decisions.py
@@ -22,7 +22,7 @@
 class Keep(Struct, frozen=True):
     """A replica's log on disk: entries behind `truncate_after` are dropped first (None: none are), then
     `changes` are appended and the sequences `superseded` dropped; `epoch` with the `publisher` that it was
-    promised to, `committed` and `life` are kept with them. Once all is on disk, `then` is sent and
+    promised to, `committed`, `life` and `settled` are kept with them. Once all is on disk, `then` is sent and
     `Replica.on_kept(now, number)` is called; where it fails, `Replica.on_store_failed(now, error)`."""
 
     number: int
@@ -33,6 +33,7 @@
     publisher: str = ""
     life: int = 0
     superseded: list[int] = field(default_factory=list)
+    settled: int = 0
     then: list[Send] = field(default_factory=list)
 
 
--- a/linenbridge/distribution/log.py
+++ b/linenbridge/distribution/log.py
@@ -2,7 +2,7 @@
 
 Keeps state without I/O. Up to `committed` only the newest entry of each key is held, in order of sequence;
 behind it every entry. So the log grows with the number of keys, not with time. A deletion is an entry as any
-other and stays until its key gets a newer one.
+other; it is let go, oldest first and far behind, once every relay of the region has committed it.
 
 Entries of kind LOG are about the log itself. One with an empty name begins a publisher's epoch. One named
 RELAY/LIFE (LIFE in hexadecimal) says which life of a relay counts from there on.
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from bisect import bisect_right
+from collections import deque
 from typing import NamedTuple
 
 from linenbridge.distribution.changes import START, Change, Kind, Version
@@ -18,6 +19,7 @@
 PAGE_BYTES = 48_000  # of entries in one message; a single larger entry goes alone
 ENTRY_BYTES = 64  # what an entry takes in a message beside its name and value, at the most
 HOLES_LEAST = 64  # sequences that were let go before the order is made anew
+DELETIONS_MOST = 50_000  # held; then the older half of them is let go
 
 
 class Life(NamedTuple):
@@ -45,14 +47,18 @@
 
 
 class Log:
-    """Entries by sequence. `committed` is the newest sequence that a majority is known to have."""
+    """Entries by sequence. `committed` is the newest sequence that a majority is known to have; deletions up
+    to `settled` were let go."""
+
+    deletions_most = DELETIONS_MOST
 
     def __init__(self) -> None:
-        self.committed = 0
+        self.committed = self.settled = 0
         self.lives: dict[str, Life] = {}  # by relay, committed or not
         self._entries: dict[int, Change] = {}
         self._order: list[int] = []  # sequences, with those that were let go until it is made anew
         self._newest: dict[tuple[int, str], int] = {}  # the committed entry of each key
+        self._deletions: deque[int] = deque()  # committed ones, with some that were superseded
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -104,6 +110,8 @@
             if older is not None:
                 superseded.append(older)
             self._newest[_key(entry)] = sequence
+            if not entry.value and entry.kind != Kind.LOG:
+                self._deletions.append(sequence)
         for sequence in superseded:
             del self._entries[sequence]
         self.committed = max(self.committed, upto)
@@ -111,6 +119,30 @@
         gone = set(superseded)
         return [entry for entry in committed if entry.sequence not in gone], superseded
 
+    def forget(self) -> None:
+        """Begin with nothing."""
+        self.__init__()
+
+    def settle(self, upto: int) -> list[int]:
+        """Let deletions up to a sequence go that is behind the newest committed one; their sequences."""
+        gone = list[int]()
+        while self._deletions and self._deletions[0] <= upto < self.committed:
+            entry = self._entries.pop(self._deletions.popleft(), None)
+            if entry is not None:
+                del self._newest[_key(entry)]
+                gone.append(entry.sequence)
+        self.settled = max(self.settled, upto)
+        self._make_order_anew()
+        return gone
+
+    def settles_at(self) -> int:
+        """Up to where deletions should be let go: nowhere new while there are few."""
+        if len(self._deletions) > self.deletions_most:
+            self._deletions = deque(sequence for sequence in self._deletions if sequence in self._entries)
+        if len(self._deletions) <= self.deletions_most:
+            return self.settled
+        return self._deletions[len(self._deletions) - self.deletions_most // 2 - 1]
+
     def after(self, sequence: int, most_bytes: int = PAGE_BYTES) -> tuple[list[Change], bool]:
         """A page of the entries behind a sequence, in order, and whether there are more."""
         page, size = list[Change](), 0
--- a/linenbridge/distribution/messages.py
+++ b/linenbridge/distribution/messages.py
@@ -26,7 +26,8 @@
     """The relay's promise, on its disk before this leaves. `last` is its newest entry, `committed` the
     newest that it knows a majority to have. `code` is not empty where the promise is refused; `epoch` is
     then the one that it holds to. `life` is another number since the relay may last have forgotten
-    something; it is a `member` where its committed log names this life."""
+    something; it is a `member` where its committed log names this life. `settled`: deletions up to there
+    were let go."""
 
     region: str
     epoch: int
@@ -36,6 +37,7 @@
     code: str = ""
     life: int = 0
     member: bool = False
+    settled: int = 0
 
 
 class Fetch(Struct, array_like=True, frozen=True, tag="fetch"):
@@ -60,13 +62,15 @@
 class Append(Struct, array_like=True, frozen=True, tag="append"):
     """Entries that follow on `previous`; none of them: a heartbeat. `committed` is the newest sequence that
     a majority has on disk. Committed entries that newer ones of their key have replaced may be left out;
-    `committed` then stays behind them until the relay has all the rest."""
+    `committed` then stays behind them until the relay has all the rest. Every relay of the region has
+    committed everything up to `settled`, so that deletions up to there may be let go."""
 
     region: str
     epoch: int
     previous: Version
     committed: int
     changes: list[Change]
+    settled: int = 0
 
 
 class Appended(Struct, array_like=True, frozen=True, tag="appended"):
--- a/linenbridge/distribution/peers.py
+++ b/linenbridge/distribution/peers.py
@@ -59,7 +59,7 @@
         self.match = START  # where sending goes on after silence: the newest version it acknowledged
         self.sent = START  # the last entry sent, or where it goes on
         self.told = 0  # the committed sequence that the newest message tells
-        self.complete = 0  # up to here the relay surely has all that the log holds
+        self.complete = 0  # up to here the relay surely has committed all that the log holds, on its disk
         self.under_way: deque[UnderWay] = deque()
         self.careful, self.gap_at = True, -1
         self.wait = self.pace.retry
@@ -136,8 +136,9 @@
             previous, self.sent = self.sent, changes[-1].version
             told, size = self._tell(log), sum(map(bytes_of, changes))
             self.under_way.append(UnderWay(self.sent, size, told))
-            found.append(Append(region, epoch, previous, told, changes))
-            self._rest(now)
+            found.append(Append(region, epoch, previous, told, changes, log.settled))
+            if len(self.under_way) == 1:
+                self._rest(now)
         if not found and now >= self.timer_at:
             found.append(self._probe(now, region, epoch, log))
         elif not found and self.told < log.committed <= self.sent.sequence and not self.careful:
@@ -165,7 +166,7 @@
         return message
 
     def _empty(self, region: str, epoch: int, log: Log) -> Append:
-        return Append(region, epoch, self.sent, self._tell(log), [])
+        return Append(region, epoch, self.sent, self._tell(log), [], log.settled)
 
     def _tell(self, log: Log) -> int:
         """Behind the log's committed part, entries may be left out: it is told once it has all of them."""
@@ -179,6 +180,6 @@
         self.told = self.complete
 
     def _rest(self, now: int) -> None:
-        """Until when nothing happens by itself."""
+        """Until when nothing happens by itself: an answer is waited for, or a heartbeat is due."""
         wait = self.wait if self.under_way else self.pace.heartbeat
         self.timer_at = now + round(wait * (1 + JITTER * self.random.random()))
--- a/linenbridge/distribution/publisher.py
+++ b/linenbridge/distribution/publisher.py
@@ -233,6 +233,13 @@
                 return
             self.log.commit(sequence)
             self.authors.on_committed(sequence)
+        settled = min(self.log.settles_at(), self._committed_everywhere())
+        if settled > self.log.settled:
+            self.log.settle(settled)
+
+    def _committed_everywhere(self) -> int:
+        """What every relay surely has committed, on its disk."""
+        return min(peer.complete for peer in self.peers.values())
 
     def _is_of_this_epoch(self, sequence: int) -> bool:
         """An entry of an earlier epoch that a majority has may still be replaced by another publisher's."""
--- a/linenbridge/distribution/reading.py
+++ b/linenbridge/distribution/reading.py
@@ -94,6 +94,8 @@
         else:
             return
         newest = max(self._quorum, key=lambda peer: peer.prepared.last)
+        if self.log.committed < self._settled():
+            self.log.forget()  # what was known here may have been deleted since
         if newest.prepared.last.sequence <= self.log.committed:
             self._finish(now)
             return
@@ -125,8 +127,12 @@
             self._start_anew()
             return
         self.log.commit(max(peer.prepared.committed for peer in self._quorum))
+        self.log.settle(self._settled())
         self._source, self.done = None, True
 
+    def _settled(self) -> int:
+        return max(peer.prepared.settled for peer in self._quorum)
+
     def _is_over(self, peer: Peer) -> bool:
         found = self.log.lives.get(peer.name)
         return peer.prepared.member and (found is None or found.number != peer.life)
--- a/linenbridge/distribution/replica.py
+++ b/linenbridge/distribution/replica.py
@@ -30,6 +30,7 @@
     publisher: str = ""
     committed: int = 0
     changes: list[Change] = []
+    settled: int = 0
 
 
 class Replica:
@@ -46,6 +47,7 @@
         for change in kept.changes:
             self.log.append(change)
         self.log.commit(kept.committed)
+        self.log.settled = kept.settled
         self.life = kept.life
         if not (kept.life and trusted):
             self.life = random.getrandbits(LIFE_BITS) | 1
@@ -91,6 +93,9 @@
         if (fault := self._fault(message)) is not None:
             self._event("replica_malformed", publisher=publisher, what=fault)
             return
+        if self._is_from_before(message):
+            self._went_back(now, message.settled)
+            return
         promised = self._promise(publisher, message.epoch)
         if self.log.agrees_at(message.previous):
             self._take(publisher, message, promised)
@@ -145,6 +150,7 @@
             code,
             self.life,
             self.member,
+            self.log.settled,
         )
 
     def _appended(self, upto: int, code: str = "") -> Appended:
@@ -177,8 +183,11 @@
         advances = min(upto, message.committed) > self.log.committed
         if advances:
             committed, superseded = self.log.commit(min(upto, message.committed))
+        settles = self.log.settled < message.settled < self.log.committed
+        if settles:
+            superseded += self.log.settle(message.settled)
         answer = self._appended(upto)
-        if advances or new:
+        if advances or new or settles:
             self._keep(truncate_after, new, superseded, [Send(publisher, answer)])
         else:
             self._answer(publisher, answer, promised)
@@ -187,6 +196,8 @@
     def _news(self, message: Append) -> tuple[int | None, list[Change]]:
         """Behind which sequence this log has to be cut (None: nowhere), and what is appended then. Entries
         that agree are never cut off: an earlier answer may have counted towards a majority."""
+        if self._fills_anew(message):
+            return 0, message.changes
         agreed = max(message.previous.sequence, self.log.committed)
         changes = [change for change in message.changes if change.sequence > self.log.committed]
         for place, change in enumerate(changes):
@@ -196,6 +207,21 @@
             agreed = change.sequence
         return None, []
 
+    def _fills_anew(self, message: Append) -> bool:
+        """Whether the region is sent from its beginning to a relay that has a part of it alone: keys of that
+        part may have been deleted since."""
+        begins = message.previous.sequence == 0 and message.settled > 0
+        return begins and bool(message.changes) and self.log.committed == 0 and len(self.log) > 0
+
+    def _is_from_before(self, message: Append) -> bool:
+        """Whether this log ends before deletions that were let go once every relay had them."""
+        return 0 < self.log.committed < message.settled
+
+    def _went_back(self, now: int, settled: int) -> None:
+        """Every relay had everything up to `settled` on its disk; this disk has less."""
+        what = f"the disk ends at {self.log.committed}, all relays had {settled}: it was put back"
+        self.on_store_failed(now, RelayStoreError(what, self.name))
+
     def _hand_on(self, changes: list[Change]) -> None:
         changes = [change for change in changes if change.kind != Kind.LOG]
         if changes:
@@ -221,7 +247,7 @@
         self._given += 1
         keep = Keep(
             self._given, truncate_after, changes or [], self.epoch, self.log.committed,
-            self.publisher, self.life, superseded or [], then or [],
+            self.publisher, self.life, superseded or [], self.log.settled, then or [],
         )  # fmt: skip
         self._out.append(keep)
 
--- a/linenbridge/distribution/store/log.py
+++ b/linenbridge/distribution/store/log.py
@@ -41,6 +41,7 @@
     committed: int = 0
     entries: int = 0
     checksums: int = 0
+    settled: int = 0
 
 
 class RelayLog:
@@ -74,7 +75,7 @@
         except (apsw.Error, OSError) as error:
             raise self._failed(error) from None
         state = self._state
-        return Kept(state.life, state.epoch, state.publisher, state.committed, changes)
+        return Kept(state.life, state.epoch, state.publisher, state.committed, changes, state.settled)
 
     def keep(self, keeps: Sequence[Keep]) -> None:
         """All of them on disk in one transaction, in order, or nothing of them."""
@@ -159,7 +160,7 @@
         state = self._state
         self._state = State(
             self.region, keep.life, keep.epoch, keep.publisher, keep.committed,
-            state.entries + count, state.checksums + checksums,
+            state.entries + count, state.checksums + checksums, keep.settled,
         )  # fmt: skip
 
     def _write_state(self) -> None:
--- a/tests/distribution/log/schedules.py
+++ b/tests/distribution/log/schedules.py
@@ -5,12 +5,19 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from tests.distribution.log.explored import LogScenario
 
 # a and b have the change, a loses its disk, b is away: a and c know nothing of it.
 FORGETS_WHAT_COUNTED = [
     "lost Append p>c at 1", "lost Append p>c at 1", "stopped 10 p at 1", "stopped 10 b at 1",
 ]  # fmt: skip
+# l of 5 is deleted at 9; that is let go once two more are deleted.
+DELETES = LogScenario(
+    ticks=26, publish_at=(1, 3, 5, 7, 9, 11, 13), keys=tuple("klmn"), deletes=True, deletions_most=2,
+    faults=(*LogScenario.faults, "oldest", "copy"),
+)  # fmt: skip
 DEEP = {
     "half_is_enough": (
         LogScenario(ticks=16, publish_at=(1,)),
@@ -81,4 +88,21 @@
         LogScenario(ticks=20, publish_at=(1, 2, 3, 4), value_bytes=30_000),
         ["blank c at 5"],
     ),
+    "lets_deletions_go_alone": (
+        DELETES, [*["lost Append p>c at 9"] * 2, *["lost Append p>c at 11"] * 2],
+    ),
+    "takes_a_disk_put_back": (DELETES, ["copy c at 6", "oldest c at 15"]),
+    "keeps_what_it_knew": (
+        DELETES, ["stopped 10 p at 6", "replace q at 6", "replace p at 15", "blank c at 18"],
+    ),
+    "fills_up_what_is_there": (
+        replace(
+            DELETES, ticks=46, keys=tuple("klmnopqr"), publish_at=(1, 2, 3, 4, 5, 6, 7, 14, 20, 24, 28),
+            value_bytes=11_000,
+        ),
+        [
+            "blank c at 8", "late 1 Append p>c", "late 1 Append p>c", *["lost Append p>c at 14"] * 2,
+            "copy c at 14", "oldest c at 36",
+        ],
+    ),
 }  # fmt: skip
--- a/tests/distribution/log/test_explored.py
+++ b/tests/distribution/log/test_explored.py
@@ -46,6 +46,18 @@
     assert found.breach is None
 
 
+DELETES = LogScenario(
+    16, ticks=60, publish_at=tuple(range(1, 60, 2)), faults=(*ALL_FAULTS, "copy"), keys=tuple("klmn"),
+    deletes=True, deletions_most=2,
+)  # fmt: skip
+
+
+def test_no_long_walk_brings_a_deleted_key_back():
+    found = wander(lambda: LogWorld(DELETES), 60, seed=2, odds=0.07)
+    print(found.line("walks, deletions let go"))
+    assert found.breach is None
+
+
 @pytest.mark.parametrize("slow_disks", [False, True])
 def test_changes_are_accepted_and_the_next_publisher_goes_on_where_nothing_goes_wrong(slow_disks):
     scenario = LogScenario(ticks=24, publish_at=(1, 4, 16, 19), replace_at=(10,), slow_disks=slow_disks)
--- a/tests/distribution/log/test_region.py
+++ b/tests/distribution/log/test_region.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from unittest.mock import patch
+
 import pytest
 
 from linenbridge.distribution.changes import VALUE_MOST, Kind, Position, Version
+from linenbridge.distribution.log import Log
 from linenbridge.distribution.messages import Progress, Publish, Summary
 from linenbridge.distribution.replica import Kept
 from tests.distribution.log.world import PACE, REGION, Region
@@ -262,3 +265,85 @@
     told = region.told[-1][1]
     assert told.state == "in_force" and told.unreached == ["c", "g7"] and told.unreached_count == 2
     assert told.version == Version(1, end)
+
+
+@pytest.fixture
+def few_deletions():
+    with patch.object(Log, "deletions_most", 4):
+        yield
+
+
+def come_and_go(region: Region, keys: int, first: int = 0, name: str = "p") -> None:
+    for number in range(first, first + keys):
+        region.publish(name, f"key-{number}", b"1", 2 * number)
+        region.publish(name, f"key-{number}", b"", 2 * number + 1)
+    region.run(PACE.retry_most)
+
+
+def kept_keys(region: Region, relay: str) -> set[str]:
+    return {row.name for row in region.disks[relay].changes if row.kind != Kind.LOG}
+
+
+def test_deletions_are_let_go_once_every_relay_has_them(few_deletions):
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "stays", b"1")
+    come_and_go(region, 40)
+    assert all("stays" in kept_keys(region, name) for name in region.names)
+    assert all(len(kept_keys(region, name)) <= 7 for name in region.names)
+    assert region.disks["a"].settled > 0
+
+
+def test_deletions_are_kept_while_a_relay_is_away_that_lacks_them(few_deletions):
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "key-0", b"1")
+    region.down = {"c"}
+    come_and_go(region, 20)
+    assert len(kept_keys(region, "a")) == 20
+    region.down = set()
+    region.run(10 * PACE.retry_most)
+    assert region.values("c").get("key-0") == b"" and equal_logs(region)
+    come_and_go(region, 4, first=30)
+    assert all(len(kept_keys(region, name)) <= 7 for name in region.names)
+
+
+def test_a_relay_filled_from_nothing_after_deletions_were_let_go_has_what_the_others_have(few_deletions):
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "stays", b"1")
+    come_and_go(region, 20)
+    region.restart("c", Kept())
+    region.run(4 * PACE.retry_most)
+    assert kept_keys(region, "c") == kept_keys(region, "a") and region.replicas["c"].member
+
+
+def test_a_disk_put_back_from_before_deletions_that_were_let_go_takes_its_relay_out(few_deletions):
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "key-0", b"1")
+    older = region.disks["c"]
+    come_and_go(region, 20)
+    region.restart("c", older)
+    region.run(4 * PACE.retry_most)
+    said = [event.fields for name, event in region.events if event.name == "distribution.store_failed"]
+    assert len(said) == 1 and "was put back" in said[0]["what"] and "empty the store" in said[0]["do"]
+    assert region.disks["c"].committed == older.committed
+    region.restart("c", Kept())
+    region.run(4 * PACE.retry_most)
+    assert kept_keys(region, "c") == kept_keys(region, "a")
+
+
+def test_a_publisher_that_comes_back_brings_nothing_back_that_was_deleted_meanwhile(few_deletions):
+    region = Region()
+    region.publisher("p", 1)
+    region.publish("p", "key-0", b"1")
+    region.publisher("p", None)
+    region.publisher("q", 2)
+    come_and_go(region, 20, name="q")
+    region.publisher("q", None)
+    region.publisher("p", 3)
+    assert region.publishers["p"].leading
+    region.restart("c", Kept())
+    region.run(4 * PACE.retry_most)
+    assert kept_keys(region, "c") == kept_keys(region, "a") and "key-0" not in kept_keys(region, "c")
