--- /dev/null
+++ b/tests/scale/tables/process.py
@@ -0,0 +1,216 @@
+"""One real process that holds the tables: filled by a stream of changes, or restarted from its store.
+
+`python -m tests.scale.tables.process fill STORE` reads frames from its standard input, `... restart STORE
+SHARE` looks up what a content of that share of the size has. Each prints one JSON object. While it is filled
+it holds no content but the view's: its memory is the interpreter, the modules and the tables.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import json
+import os
+import random
+import sys
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from typing import BinaryIO
+
+import msgspec
+from msgspec import Struct
+
+from linenbridge.distribution.decisions import Apply, ReplaceRange
+from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
+from linenbridge.distribution.view.view import View
+from linenbridge.routes.table import Request
+from tests.scale.tables.content import LONGEST, METHODS, REGIONS, SEED, Content, Size
+
+LOOKUPS, COLD_LOOKUPS = 20_000, 1_000
+COMPILED_SERVICES = 50  # whose routes are asked for again and again, and whose instances are in use
+LENGTH_BYTES = 4
+FILL = "fill"
+
+Times = list[float]
+
+
+class Frame(Struct, array_like=True, frozen=True):
+    """A batch or a whole range for the view; `what` is the name under which its cost is counted."""
+
+    what: str
+    batch: Apply | None = None
+    content: ReplaceRange | None = None
+
+
+def write_frame(stream: BinaryIO, frame: Frame) -> None:
+    words = msgspec.msgpack.encode(frame)
+    stream.write(len(words).to_bytes(LENGTH_BYTES, "big") + words)
+
+
+def read_frames(stream: BinaryIO) -> Iterator[Frame]:
+    while head := stream.read(LENGTH_BYTES):
+        yield msgspec.msgpack.decode(stream.read(int.from_bytes(head, "big")), type=Frame)
+
+
+def resident() -> int:
+    """Bytes of this process in memory."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def highest() -> int:
+    """The most bytes that this process had in memory."""
+    with open("/proc/self/status") as file:
+        line = next(line for line in file if line.startswith("VmHWM"))
+    return int(line.split()[1]) * 1024
+
+
+def give_back() -> None:
+    """Free memory goes back to the system, as far as the allocator can give it."""
+    ctypes.CDLL(None).malloc_trim(0)
+
+
+def opened(path: str) -> tuple[ViewStore, View]:
+    store = ViewStore(path, fingerprint(method.name for method in METHODS), _told)
+    return store, restored(store, lambda: View(METHODS, LONGEST))
+
+
+def _told(name: str, **fields: object) -> None:
+    print(name, fields, file=sys.stderr)
+
+
+# ---- filling -----------------------------------------------------------------------------------------
+
+
+def filled(path: str) -> dict:
+    """The figures of a process whose tables are filled from a stream."""
+    base = resident()
+    store, view = opened(path)
+    applying, storing = defaultdict[str, Times](list), defaultdict[str, Times](list)
+    after_fill = 0
+    for frame in read_frames(sys.stdin.buffer):
+        if frame.what != FILL and not after_fill:
+            after_fill = resident()
+        applying[frame.what].append(processor_time(lambda frame=frame: take(view, frame)))
+        storing[frame.what].append(processor_time(lambda: store.write(view.dirty())))
+    told = {
+        "base": base,
+        "filled": after_fill,
+        "fill_s": (sum(applying.pop(FILL)) + sum(storing.pop(FILL))) / 1e6,
+        "change": {what: spread(times) for what, times in applying.items()},
+        "store": {what: spread(times) for what, times in storing.items()},
+        "resident": resident(),
+        "highest": highest(),
+        "digests": {region: view.digest(region) for region in REGIONS},
+    }
+    store.close()
+    return told
+
+
+def take(view: View, frame: Frame) -> None:
+    found = view.replace(frame.content) if frame.batch is None else view.apply(frame.batch)
+    if found.refused:
+        raise SystemExit(f"refused: {found.refused[0]}")
+
+
+# ---- looking up --------------------------------------------------------------------------------------
+
+
+def restarted(path: str, share: float) -> dict:
+    """The figures of a process that serves from its store."""
+    base = resident()
+    store, view = opened(path)
+    content = Content(Size().scaled(share), SEED)
+    first = content.services[0]
+    answer = view.routes(first)
+    if answer is None or view.tenant(content.tenant(0)) is None or not view.instances(first):
+        raise SystemExit("the store holds nothing")
+    told: dict = {"answered_at": time.monotonic_ns(), "base": base}
+    told["restored"] = resident()
+    give_back()
+    told["settled"] = resident()
+    told["lookup"] = looked_up(view, content)
+    told["after_lookups"], told["highest"] = resident(), highest()
+    told["digests"] = {region: view.digest(region) for region in REGIONS}
+    told["pages"] = page_bytes(view)
+    store.close()
+    return told
+
+
+def page_bytes(view: View) -> dict[str, int]:
+    """Bytes of the packed pages, and of the sets compiled at present as they are counted."""
+    services = [pages for found in view.by_service.pages for pages in found.values()]
+    return {
+        "tenants": sum(map(len, view.by_tenant.pages)),
+        "routes": sum(len(page) for found in view.by_authority.pages for page in found.values()),
+        "instances": sum(len(page) for pages in services for page in pages),
+        "compiled": view.by_authority.cost,
+    }
+
+
+def looked_up(view: View, content: Content) -> dict[str, dict]:
+    """Look-ups of each table, at random over all of it or over what is in use."""
+    chosen = random.Random(SEED)
+    names = [content.tenant(chosen.randrange(content.size.tenants)) for _ in range(LOOKUPS)]
+    told = {"tenant": spread([processor_time(lambda name=name: view.tenant(name)) for name in names])}
+    cold = chosen.sample(content.services, min(COLD_LOOKUPS, len(content.services)))
+    requests = [(name, request_of(view, name, chosen)) for name in cold]
+    view.by_authority.clear()
+    told["routes cold"] = spread([asked(view, *one) for one in requests])
+    used = requests[:COMPILED_SERVICES]
+    for one in used:
+        asked(view, *one)
+    told["routes compiled"] = spread([asked(view, *chosen.choice(used)) for _ in range(LOOKUPS)])
+    told["service cold"] = spread([processor_time(lambda name=name: view.instances(name)) for name in cold])
+    for name in cold[:COMPILED_SERVICES]:
+        view.use(name)
+    entries = [chosen.choice(cold[:COMPILED_SERVICES]) for _ in range(LOOKUPS)]
+    told["instance in use"] = spread(
+        [processor_time(lambda name=name: view.by_service.find(name)) for name in entries]
+    )
+    return told
+
+
+def request_of(view: View, service: str, chosen: random.Random) -> Request:
+    """A request that one of the service's routes takes."""
+    table = view.routes(service)
+    rule = table.rules[chosen.randrange(len(table.rules))]
+    starts, verbs, *headers = rule.when.parts
+    wanted = {test.subject.name: test.words[0] for test in headers}
+    return Request(service, starts.words[0] + "17", verbs.words[0], "http", {"x-tenant": "t", **wanted})
+
+
+def asked(view: View, service: str, request: Request) -> float:
+    fresh = Request(request.authority, request.path, request.verb, "http", request.headers)
+    found: list[object] = []
+
+    def look() -> None:
+        table = view.routes(service)
+        found.append(table and table.find(fresh))
+
+    took = processor_time(look)
+    if found[0] is None:
+        raise SystemExit(f"no route of {service} takes {request.path}")
+    return took
+
+
+# ---- figures -----------------------------------------------------------------------------------------
+
+
+def processor_time(call: Callable[[], object]) -> float:
+    """Microseconds of this thread's processor time: others share the machine."""
+    began = time.thread_time_ns()
+    call()
+    return (time.thread_time_ns() - began) / 1000
+
+
+def spread(times: Times) -> dict[str, float]:
+    """The median and the 99th in a hundred, in microseconds."""
+    ordered = sorted(times)
+    return {"p50": ordered[len(ordered) // 2], "p99": ordered[len(ordered) * 99 // 100], "n": len(ordered)}
+
+
+if __name__ == "__main__":
+    what, store_path, *rest = sys.argv[1:]
+    figures = filled(store_path) if what == "fill" else restarted(store_path, float(rest[0]))
+    print(json.dumps(figures))
