--- a/tests/distribution/log/world.py
+++ b/tests/distribution/log/world.py
@@ -129,7 +129,7 @@
         if isinstance(decision, Send):
             self._fly(name, decision)
         elif isinstance(decision, Keep):
-            self.disks[name] = disk_after(self.disks[name], decision)
+            self._write(name, decision)
             core.on_kept(self.now, decision.number)
             for send in decision.then:
                 self._fly(name, send)
@@ -138,6 +138,9 @@
         elif isinstance(decision, Event):
             self.events.append((name, decision))
 
+    def _write(self, name: str, keep: Keep) -> None:
+        self.disks[name] = disk_after(self.disks[name], keep)
+
     def _fly(self, name: str, send: Send) -> None:
         if isinstance(send.message, Published):
             self.told.append((send.to, send.message))
