Distribution: ranges are taken anew only where two relays' digests differ from the follower's

A digest that differs at one relay may be the relay's fault. Its ranges would then make the follower wrong too, and equal to it for good. The follower now goes to another relay first, and takes ranges only where that one differs as well, or where it is alone.

--- a/linenbridge/distribution/acceptance.py
+++ b/linenbridge/distribution/acceptance.py
@@ -93,8 +93,9 @@
         return self.differs or self.behind_horizon
 
     def on_new_session(self) -> None:
-        """Nothing of an earlier session goes on."""
+        """Nothing of an earlier session goes on; digests are compared anew."""
         self.transferring_at = None
+        self.confirmed = self.differs = self.behind_horizon = False
         self._drop_parts()
 
     # ---- batches ---------------------------------------------------------------------------------------
@@ -122,10 +123,12 @@
             self._expect(batch.upto, batch.digest)
         return Apply(self.region, batch.upto, changes, batch.digest, batch.horizon)
 
-    def compare(self, batch: Batch) -> None:
-        """A heartbeat at the relay's head tells the digest again."""
-        if batch.digest is not None and self.applied == batch.upto and self.digest is not None:
-            self.differs = self.digest != batch.digest
+    def compare(self, batch: Batch) -> bool:
+        """A heartbeat at the relay's head tells the digest again; whether it was compared."""
+        if batch.digest is None or self.applied != batch.upto or self.digest is None:
+            return False
+        self.differs = self.digest != batch.digest
+        return True
 
     def _expect(self, upto: Version, digest: int) -> None:
         self._expected[upto] = digest
@@ -174,13 +177,16 @@
 
     # ---- the host --------------------------------------------------------------------------------------
 
-    def on_applied(self, upto: Version, digest: int | None) -> None:
+    def on_applied(self, upto: Version, digest: int | None) -> bool:
         """The host has a batch or range in force, and its table's digest is this; None: it cannot be compared
-        now. A range that is not the last one of its transfer leaves the position where it is."""
+        now. A range that is not the last one of its transfer leaves the position where it is. Whether the
+        digest was compared with the relay's."""
         if self.taken < upto or upto < self.applied:
-            return
+            return False
         self.applied, self.digest = upto, digest
         expected = self._expected.pop(upto, None)
         self._expected = {version: each for version, each in self._expected.items() if version > upto}
-        if expected is not None and digest is not None:
-            self.differs = expected != digest
+        if expected is None or digest is None:
+            return False
+        self.differs = expected != digest
+        return True
--- a/linenbridge/distribution/follower.py
+++ b/linenbridge/distribution/follower.py
@@ -86,6 +86,7 @@
         self._session = self._random.randrange(1, SESSION_MOST)
         self._messages = self._unanswered = self._unanswered_before = self._gaps = 0
         self._repaired: set[str] = set()  # regions whose ranges were taken anew from this relay
+        self._differed: dict[str, str] = {}  # by region, the relay whose digest was another one first
         self._begin_at = now + self._jitter()
         self._deadline: int | None = None  # for the link, then for the next word
         self._spare_deadline = now
@@ -304,11 +305,12 @@
             self._out.append(acceptance.take(batch))
             return
         self._progress_due = True
+        compared = False
         if verdict is Verdict.HEARTBEAT:
-            acceptance.compare(batch)
+            compared = acceptance.compare(batch)
         else:
             self.counters.passed_over += 1
-        self._check(now, acceptance)
+        self._check(now, acceptance, compared)
 
     def on_whole(self, now: int, relay: str, whole: Whole) -> None:
         """A part of a range that was asked for."""
@@ -376,8 +378,8 @@
             self._unanswered -= 1
         self._progress_due = True
         acceptance = self._acceptance[region]
-        acceptance.on_applied(upto, digest)
-        self._check(now, acceptance)
+        compared = acceptance.on_applied(upto, digest)
+        self._check(now, acceptance, compared)
 
     def on_progress_below(self, now: int, summaries: list[Summary]) -> None:
         """A relay's sums over its own followers, for those regions that it follows here."""
@@ -386,24 +388,35 @@
                 self._below[summary.region] = summary
                 self._progress_due = True
 
-    def _check(self, now: int, acceptance: Acceptance) -> None:
+    def _check(self, now: int, acceptance: Acceptance, compared: bool) -> None:
         """Ask for ranges where the digest differs or the relay's changes do not reach back far enough."""
+        if compared and not acceptance.differs:
+            self._differed.pop(acceptance.region, None)
         if not acceptance.needs_ranges or not self.following:
             return
         asked = acceptance.transferring_at
         if asked is not None and now - asked < self.settings.ranges:
             return
-        if acceptance.differs:
-            self._on_differs(now, acceptance)
-        if self.following:
-            self._ask_ranges(now, acceptance)
-
-    def _on_differs(self, now: int, acceptance: Acceptance) -> None:
+        if acceptance.differs and not self._is_to_repair(now, acceptance):
+            return
+        self._ask_ranges(now, acceptance)
+
+    def _is_to_repair(self, now: int, acceptance: Acceptance) -> bool:
+        """The digest differs from this relay's. Either side may be wrong, and ranges of a relay that is wrong
+        would make this follower so too: ranges are taken only where another relay's differed before, or
+        there is no other. Where they did not help, another relay is taken."""
+        region, relay = acceptance.region, self.relay
+        alone = not any(other != relay for other in self._links)
+        if alone and len(self._order.names) > 1 and now - self._followed_at < self.settings.ranges:
+            return False  # the second link may be on its way
         self.counters.differed += 1
-        fields: dict[str, object] = {"relay": self.relay, "region": acceptance.region}
-        self._out.append(Event("distribution.digest_differs", fields))
-        if acceptance.region in self._repaired:
-            self._leave(now, "digest", self.settings.spoilt)
+        self._out.append(Event("distribution.digest_differs", {"relay": relay, "region": region}))
+        elsewhere = self._differed.get(region, relay) != relay
+        if region not in self._repaired and (alone or elsewhere):
+            return True
+        self._differed[region] = relay
+        self._leave(now, "digest", self.settings.spoilt)
+        return False
 
     def _ask_ranges(self, now: int, acceptance: Acceptance) -> None:
         acceptance.transferring_at = now
--- a/tests/distribution/feed/test_simulation.py
+++ b/tests/distribution/feed/test_simulation.py
@@ -12,7 +12,7 @@
 import pytest
 
 from linenbridge.distribution import acceptance, pacing
-from linenbridge.distribution.changes import Kind
+from linenbridge.distribution.changes import Kind, range_of
 from linenbridge.distribution.feed import FeedSettings
 from linenbridge.distribution.messages import Batch, Whole
 from tests.distribution.feed import checker
@@ -266,6 +266,48 @@
     assert sum(follower.counters.spoilt for follower in world.followers.values()) == len(named)
 
 
+@pytest.mark.parametrize("relay", ["r1-relay1", "r0-relay1"])
+def test_a_relay_whose_table_lacks_a_key_spreads_nothing(relay):
+    """Of its own region: its followers go elsewhere and name it. Of another one: it is a follower itself, and
+    mended."""
+    world = World(Shape(), 2)
+    world.run(2)
+    publish_over(world, 4, 40)
+    world.run(10)
+    wrong = world.feeds[relay].tables["r1"]
+    change = next(change for change in reversed(world.logs["r1"]) if wrong.newest(*change.key).value)
+    wrong._forget(range_of(*change.key), f"{change.kind}/{change.name}", wrong.newest(*change.key))
+    publish_over(world, 20, 30)
+    world.run(40)
+    found = checker.breaches_of_versions(world.record, published(world))
+    found += checker.breaches_at_end(world.record, published(world), gateways(world))
+    assert found == []
+    named = {
+        event.fields["relay"]
+        for _, core, event in world.events
+        if event.name == "distribution.digest_differs" and core != f"{relay}:r1"
+    }
+    own = relay.startswith("r1")
+    assert named == ({relay} if own else set())
+    if not own:
+        assert different_digests(world) == []
+
+
+def test_a_gateway_whose_state_is_wrong_is_mended():
+    world = World(Shape(), 2)
+    world.run(2)
+    publish_over(world, 4, 40)
+    world.run(10)
+    tables = world.tables["r0-gateway2"]
+    key = sorted(tables.rows["r1"])[3]
+    tables.drop("r1", key)
+    world.publish_some("r1", 1)
+    world.run(20)
+    assert tables.sums["r1"] == world.feeds["r0-relay0"].digest("r1")
+    follower = world.followers["r0-gateway2"]
+    assert 1 <= follower.counters.ranges <= 2, "what differs, not everything"
+
+
 # ---- the budget --------------------------------------------------------------------------------------------
 
 
