--- a/linenbridge/distribution/table.py
+++ b/linenbridge/distribution/table.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 import msgspec
-from msgspec import Struct
 
 from linenbridge.distribution.changes import (
     RANGES, START, Change, Version, added, range_of, removed,
@@ -28,19 +27,12 @@
 _decode = msgspec.msgpack.Decoder(Change).decode
 
 
-class _Place(Struct, array_like=True, frozen=True):
-    """The first fields of an encoded change, which is all that its order depends on."""
+class _Place(NamedTuple):
+    """One key in the order of the log."""
 
-    region: str
-    epoch: int
     sequence: int
-
-    @property
-    def version(self) -> Version:
-        return Version(self.epoch, self.sequence)
-
-
-_decode_place = msgspec.msgpack.Decoder(_Place).decode
+    key: str
+    deleted: bool
 
 
 class Entry(NamedTuple):
@@ -222,17 +214,17 @@
     def _finish(self, upto: Version) -> None:
         self.head = max(self.head, upto)
         self.replacing = False
-        order = sorted(
-            (_decode_place(encoded).sequence, key) for kept in self._ranges for key, encoded in kept.items()
-        )
-        self._sequences = [sequence for sequence, _ in order]
-        self._keys = [key for _, key in order]
-        self._tombstones = deque(sequence for sequence, key in order if not self._decoded(key).value)
+        order = sorted(self._places())
+        self._sequences = [place.sequence for place in order]
+        self._keys = [place.key for place in order]
+        self._tombstones = deque(place.sequence for place in order if place.deleted)
         self._tidy()
 
-    def _decoded(self, key: str) -> Change:
-        kind, name = _parts(key)
-        return _decode(self._ranges[range_of(kind, name)][key])
+    def _places(self) -> Iterator[_Place]:
+        for kept in self._ranges:
+            for key, encoded in kept.items():
+                change = _decode(encoded)
+                yield _Place(change.sequence, key, not change.value)
 
     # ---- what followers are sent -----------------------------------------------------------------------
 
@@ -252,7 +244,7 @@
         for entry in self.since(after):
             size += len(entry.encoded)
             if encoded and size > bytes_most:
-                return Page(_decode_place(encoded[-1]).version, encoded)
+                return Page(_decode(encoded[-1]).version, encoded)
             encoded.append(entry.encoded)
         return Page(self.head, encoded)
 
--- /dev/null
+++ b/tests/distribution/feed/test_with_views.py
@@ -0,0 +1,53 @@
+"""Feeds and followers with the gateways' real views, through any faults: all digests are equal at the end."""
+
+from __future__ import annotations
+
+import pytest
+
+from linenbridge.distribution.changes import Version
+from linenbridge.distribution.decisions import Apply, ReplaceRange
+from linenbridge.distribution.feed import FeedSettings
+from linenbridge.distribution.follower import Follower
+from linenbridge.distribution.view.view import View
+from tests.distribution.feed.test_simulation import FEW_TOMBSTONES, publish_over, random_fault
+from tests.distribution.feed.world import SECOND, Shape, World
+from tests.helpers import startup
+
+
+class Held(View):
+    """A view as the simulated installation keeps one for each gateway."""
+
+    def __init__(self) -> None:
+        super().__init__(startup().methods, 10 * SECOND)
+
+    @property
+    def at(self) -> dict[str, Version]:
+        return {position.region: position.version for position in self.positions()}
+
+
+class WorldOfViews(World):
+    """The record stays empty: values are random bytes, which views refuse but count as seen."""
+
+    def _emptied(self, name: str) -> None:
+        self.tables[name] = Held()
+
+    def _in_force(self, gateway: str, core: Follower, decision: Apply | ReplaceRange) -> None:
+        view = self.tables[gateway]
+        applied = view.apply(decision) if isinstance(decision, Apply) else view.replace(decision)
+        core.on_applied(self.now, applied.region, applied.upto, applied.digest)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_views_and_tables_are_equal_after_any_faults(seed):
+    world = WorldOfViews(Shape(feed=FEW_TOMBSTONES if seed % 2 else FeedSettings()), seed)
+    world.run(2)
+    publish_over(world, 24, 60)
+    for _ in range(14):
+        world.at(world.now + world.dice.randrange(24 * SECOND), random_fault, world, world.dice)
+    world.run(60)
+    for region in world.regions:
+        tables = {feed.digest(region) for feed in world.feeds.values()}
+        assert len(tables) == 1
+        assert {view.digest(region) for view in world.tables.values()} == tables
+    ranges = sum(follower.counters.ranges for follower in world.followers.values())
+    assert bool(ranges) == (world.shape.feed == FEW_TOMBSTONES)
