Distribution: deletions that a replica has let go lie behind its feed's horizon

A replica lets deletions go once all relays have them, so after a start its feed lacks tombstones without knowing: a follower from before them would have kept the deleted keys until its digest was compared. The relay's host tells the feed how far they were let go.

--- a/linenbridge/distribution/feed.py
+++ b/linenbridge/distribution/feed.py
@@ -124,11 +124,12 @@
 
     # ---- changes ---------------------------------------------------------------------------------------
 
-    def on_committed(self, now: int, region: str, changes: list[Change]) -> None:
-        """The own region's changes that a majority has, in order, up to a state that the log had."""
+    def on_committed(self, now: int, region: str, changes: list[Change], settled: int = 0) -> None:
+        """The own region's changes that a majority has, in order, up to a state that the log had. Deletions
+        up to `settled` may be missing: the replica has let them go."""
         if changes:
             table = self.tables[region]
-            table.apply(changes[-1].version, changes)
+            table.apply(changes[-1].version, changes, horizon=settled)
             table.settled = True
             self._moved(now, region)
 
--- a/linenbridge/distribution/hosting/relay.py
+++ b/linenbridge/distribution/hosting/relay.py
@@ -132,7 +132,8 @@
             case Keep():
                 self.writer.put(decision)
             case Committed():
-                self.feed.on_committed(now, decision.region, decision.changes)
+                settled = self.replica.log.settled
+                self.feed.on_committed(now, decision.region, decision.changes, settled)
             case Apply():
                 digest = self.feed.on_apply(now, decision)
                 self.followers[decision.region].on_applied(now, decision.region, decision.upto, digest)
--- a/tests/distribution/feed/test_feed.py
+++ b/tests/distribution/feed/test_feed.py
@@ -186,6 +186,20 @@
     assert relay.feed.sessions["g1"].window.outstanding == 0
 
 
+def test_deletions_that_the_replica_has_let_go_are_behind_the_horizon():
+    """After a relay's start its log lacks them: a follower from before them would keep the deleted keys."""
+    relay = Relay()
+    change = sealed("r1", Version(1, 40), Kind.TENANT, "t", b"1")
+    relay.feed.on_committed(0, "r1", [change], settled=30)
+    relay.now = SETTINGS.starting + 1
+    relay.follow("before", sequence=29)
+    relay.follow("after", sequence=30)
+    relay.run(1)
+    assert relay.batches("before") == []
+    assert relay.sent["before"][0].horizon == 30
+    assert [batch.upto.sequence for batch in relay.batches("after")] == [40]
+
+
 def test_only_ranges_that_differ_are_transferred_and_one_at_the_least():
     relay = Relay()
     relay.commit(50)
