Distribution: relays of other regions are never refused as too many followers

With all places of a region's relays taken by gateways, another region's relays found none, and with them all of its gateways got nothing of the region. The feed knows the names of relays; only gateways count towards the bound. Simulations of bounded load: a lost relay's followers spread within the bound and go back when it is there again; where the own region is full, another one's relays are taken.

--- a/linenbridge/distribution/feed.py
+++ b/linenbridge/distribution/feed.py
@@ -41,7 +41,7 @@
     gather: int = 200 * MILLISECOND  # between two batches to the same follower
     heartbeat: int = SECOND  # a follower hears something at least so often
     silent: int = 5 * SECOND  # without a word from a follower; then it is let go
-    followers_most: int = 400  # at this relay
+    followers_most: int = 400  # at this relay, beside other regions' relays
     window: int = 262_144  # unacknowledged bytes of one follower; less than a link holds unsent
     refuse_for: int = 5 * SECOND  # how long a refused follower leaves this relay alone
     starting: int = 60 * SECOND  # after a start, followers that are ahead of this relay are sent elsewhere
@@ -72,18 +72,21 @@
 
 
 class Feed:
-    """`name` is the relay's, `region` its own, `regions` all of them. A host pulls `next_decision` and wakes
-    the feed at `wake_at`."""
+    """`name` is the relay's, `region` its own, `regions` all of them. `relays` are the names of all relays:
+    as followers they are never refused as too many, since their whole region hangs on them. A host pulls
+    `next_decision` and wakes the feed at `wake_at`."""
 
     def __init__(
-        self, name: str, region: str, regions: list[str], settings: FeedSettings, random: Random, now: int
-    ) -> None:
+        self, name: str, region: str, regions: list[str], settings: FeedSettings, random: Random, now: int,
+        relays: frozenset[str] = frozenset(),
+    ) -> None:  # fmt: skip
         self.name, self.region, self.settings = name, region, settings
         self.counters = FeedCounters()
         self.tables = {each: Table(each, settings.tombstones_most) for each in regions}
         self.sessions: dict[str, Session] = {}
         self.departed = Departed()
         self._regions = list(regions)
+        self._relays = relays
         self._known_regions = frozenset(regions)
         self._heads = {each: Heads() for each in regions}
         self._random = random
@@ -160,8 +163,7 @@
 
     def on_follow(self, now: int, follow: Follow) -> None:
         """A new follower, or one that begins anew."""
-        known = follow.follower in self.sessions
-        if not known and len(self.sessions) >= self.settings.followers_most:
+        if self._is_full_for(follow.follower):
             self._refuse(follow.follower, follow.session, RelayFull.code)
             return
         if self._behind(now, follow):
@@ -175,6 +177,12 @@
             self._heartbeat(session, cursor, now)
         self._wake_by(now)
 
+    def _is_full_for(self, follower: str) -> bool:
+        if follower in self.sessions or follower in self._relays:
+            return False
+        gateways = sum(name not in self._relays for name in self.sessions)
+        return gateways >= self.settings.followers_most
+
     def _behind(self, now: int, follow: Follow) -> bool:
         """After a start, a relay may not have caught up with the other regions."""
         if now - self._started_at > self.settings.starting:
--- a/linenbridge/distribution/follower.py
+++ b/linenbridge/distribution/follower.py
@@ -21,6 +21,7 @@
 MILLISECOND, SECOND = 1_000, 1_000_000
 SESSION_MOST = 1 << 53
 GAPS_MOST = 3  # at one relay, one after another; then another relay is taken
+REFUSED_MOST = 60 * SECOND  # for which a relay that refuses is left alone, whatever it says
 LEFT_MOST = 8  # relays that are yet to be told that they were left, maybe by an earlier process of this name
 
 
@@ -350,7 +351,7 @@
         """The relay does not serve this follower, or no longer."""
         if relay == self.relay and refused.session == self._session:
             self.counters.refused += 1
-            self._leave(now, refused.code, refused.after)
+            self._leave(now, refused.code, min(refused.after, REFUSED_MOST))
 
     def _on_gap(self, now: int) -> None:
         """Something was lost: begin a session anew from where this follower is."""
--- a/linenbridge/distribution/hosting/relay.py
+++ b/linenbridge/distribution/hosting/relay.py
@@ -41,8 +41,9 @@
         self.disk = RelayLog(settings.store, settings.region)
         self.replica = Replica(settings.region, settings.name, self.disk.read(), settings.trusted, random)
         self.feed = Feed(
-            settings.name, settings.region, list(settings.regions), _feed_settings(settings), random, now
-        )
+            settings.name, settings.region, list(settings.regions), _feed_settings(settings), random, now,
+            relay_names(settings),
+        )  # fmt: skip
         self.followers = {
             region: self._follower(region, random, now)
             for region in settings.regions
--- a/tests/distribution/feed/test_simulation.py
+++ b/tests/distribution/feed/test_simulation.py
@@ -177,6 +177,41 @@
     assert breaches_of_sums(world) == []
 
 
+def following(world: World) -> list[str]:
+    return [name for name in gateways(world) if world.followers[name].following]
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_followers_of_a_lost_relay_are_spread_within_the_bound_and_come_back(seed):
+    """A bound of one and a half times the fair share of 24 gateways over 4 relays."""
+    bound = 9
+    world = World(Shape(relays=4, gateways=24, feed=FeedSettings(followers_most=bound)), seed)
+    world.run(8)
+    assert following(world) == gateways(world)
+    world.kill("r0-relay2")
+    world.run(4)
+    assert following(world) == gateways(world)
+    for feed in world.feeds.values():
+        assert sum("gateway" in name for name in feed.sessions) <= bound
+    world.start_relay("r0-relay2")
+    world.run(90)
+    assert following(world) == gateways(world)
+    assert len(world.feeds["r0-relay2"].sessions) >= 4, "those whose first relay it is have gone back"
+
+
+def test_where_the_own_regions_relays_are_full_those_of_another_are_taken():
+    world = World(Shape(relays=2, gateways=10, feed=FeedSettings(followers_most=7)), 1)
+    world.run(8)
+    world.kill("r0-relay0")
+    world.run(20)
+    assert following(world) == gateways(world)
+    relays = {world.followers[f"r0-gateway{n}"].relay for n in range(10)}
+    assert relays >= {"r0-relay1", "r1-relay0"} or relays >= {"r0-relay1", "r1-relay1"}
+    publish_over(world, 2, 10)
+    world.run(10)
+    assert breaches(world) == []
+
+
 class Spoiler:
     """What one relay does to its messages, by chance: nothing of it may come into force."""
 
--- a/tests/distribution/feed/world.py
+++ b/tests/distribution/feed/world.py
@@ -142,7 +142,10 @@
         """A relay with an empty memory; its own region's log is on its disk."""
         self.down.discard(name)
         region = self.home[name]
-        feed = self.feeds[name] = Feed(name, region, self.regions, self.shape.feed, self._random(), self.now)
+        relays = frozenset(place.name for place in self.places)
+        feed = self.feeds[name] = Feed(
+            name, region, self.regions, self.shape.feed, self._random(), self.now, relays
+        )
         feed.on_publisher(self.now, f"{region}-publisher")
         for other in self.regions:
             if other != region:
