Processor: routes by authority and tenants' shares from a view, where one is handed to it

What a follower of the distribution holds has to be what the processor serves.

ProcessorServer takes a view: an authority that the view has a set for is answered by it, others by the settings' own table, and the module is given the view's shares. With an element distribution beside the processor the view comes from its store and follows its relays; without one nothing of it is imported.

--- a/linenbridge/process/parts.py
+++ b/linenbridge/process/parts.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 from linenbridge.choice import Choice
+from linenbridge.interface import Startup
 from linenbridge.net.clients import Clients
 from linenbridge.net.discovery import Discovery, Taker, host_port
 from linenbridge.net.follow import Follow
@@ -41,11 +42,12 @@
 
 
 def build(
-    at: ProcessConfiguration, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None
-) -> Parts:
+    at: ProcessConfiguration, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None,
+    start: Startup | None = None,
+) -> Parts:  # fmt: skip
     """The parts of one gateway; the module has heard the list and the news before anyone can ask. `more` adds
-    another front to the same loop."""
-    settings, start = at.settings, startup(at.settings)
+    another front to the same loop; `start` is what the module is given, where not what the settings say."""
+    settings, start = at.settings, start or startup(at.settings)
     methods = {method.name: method for method in start.methods}
     connect_wait = micros(settings.permissions.connect_timeout)
     answer_wait = micros(settings.family_info.answer_wait)
--- a/linenbridge/processor/front.py
+++ b/linenbridge/processor/front.py
@@ -21,7 +21,7 @@
 from linenbridge.processor.store import Store, digest
 from linenbridge.processor.tickets import Entry, Ledger, Ticket
 from linenbridge.processor.verdicts import LATER, Verdicts
-from linenbridge.routes.table import Request, Table
+from linenbridge.routes.table import Request, Routing
 
 ATTEMPT_DIGITS = 4
 LATE = 20_000  # microseconds before the deadline from which an abort is said to be one for time
@@ -31,8 +31,9 @@
     """All conversations of one gateway; what the loop calls when the module has decided."""
 
     def __init__(
-        self, loop: Loop, reactor: Any, table: Table, ledger: Ledger, evidence: Evidence, verdicts: Verdicts,
-        form: AnswerForm, store: Store | None, passes_unrouted: bool, unix: Callable[[], float],
+        self, loop: Loop, reactor: Any, table: Routing, ledger: Ledger, evidence: Evidence,
+        verdicts: Verdicts, form: AnswerForm, store: Store | None, passes_unrouted: bool,
+        unix: Callable[[], float],
     ) -> None:  # fmt: skip
         self.loop, self.reactor, self.log = loop, reactor, loop.log
         self.table, self.ledger, self.evidence, self.verdicts = table, ledger, evidence, verdicts
--- a/linenbridge/processor/server.py
+++ b/linenbridge/processor/server.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from linenbridge.logging.log import structured
 from linenbridge.net.discovery import host_port
@@ -31,8 +31,13 @@
 from linenbridge.processor.store import Store
 from linenbridge.processor.tickets import Ledger
 from linenbridge.processor.verdicts import Verdicts
+from linenbridge.routes.table import Routing, Table
 from linenbridge.startup import micros, startup
 
+if TYPE_CHECKING:
+    from linenbridge.distribution.view.view import View
+    from linenbridge.processor.distributed import Distributed
+
 PROCESS = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 HEALTH = b"/grpc.health.v1.Health/"
 LEAVE_MORE = 1.0  # seconds after the longest deadline within which streams have ended on a planned stop
@@ -52,11 +57,15 @@
 class ProcessorServer:
     """The processor's front with its server, on one gateway's loop."""
 
-    def __init__(self, at: ProcessConfiguration, settings: ProcessorSettings, log: Log, reactor: Any) -> None:
+    def __init__(
+        self, at: ProcessConfiguration, settings: ProcessorSettings, log: Log, reactor: Any,
+        view: View | None = None,
+    ) -> None:  # fmt: skip
         self.settings, self.log, self.reactor = settings, log, reactor
         start = startup(at.settings)
         self.longest = micros(max(profile.give_up for profile in at.settings.profiles))
         self.table = routes(settings, list(start.methods), self.longest)
+        self.routing = _routing(self.table, view)
         self.directory = Directory(settings.partners)
         self.health = Health()
         self.keys = keys.Keys(settings.tls) if settings.tls is not None else None
@@ -69,8 +78,8 @@
         ours = frozenset(known.partner.name for known in settings.partners if known.partner.ours)
         store = None if settings.store is None else Store(*settings.store, self.log.event)
         front = self.front = Front(
-            loop, self.reactor, self.table, Ledger(settings.terms), Evidence(ours), Verdicts(settings.proofs),
-            settings.form, store, settings.passes_unrouted, time.time,
+            loop, self.reactor, self.routing, Ledger(settings.terms), Evidence(ours),
+            Verdicts(settings.proofs), settings.form, store, settings.passes_unrouted, time.time,
         )  # fmt: skip
         front.start()
         named = keys.names if self.keys is not None else lambda transport: ()
@@ -133,6 +142,26 @@
         }
 
 
+def _routing(table: Table, view: View | None) -> Routing:
+    """The settings' own table; with a view the sets that it has go before."""
+    if view is None:
+        return table
+    from linenbridge.distribution.view.serving import RoutesByAuthority
+
+    return RoutesByAuthority(view, table)
+
+
+def _distributed(
+    configuration: Configuration, at: ProcessConfiguration, log: Log, reactor: Any
+) -> Distributed | None:
+    """What is spread to this process, where the settings have a distribution."""
+    if configuration.part("distribution") is None:
+        return None
+    from linenbridge.processor.distributed import distributed
+
+    return distributed(configuration, at, log, reactor)
+
+
 def _member(configuration: Configuration, log: Log, reactor: Any, loop: Loop):  # noqa: ANN202  (imported where it is used)
     """This process as a member of the fleet, where the settings have one."""
     if configuration.part("fleet") is None:
@@ -156,15 +185,18 @@
         raise ConfigurationError(f"{configuration.path}: element 'linenbridge': it has no processor")
     log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
-    server = ProcessorServer(at, told, log, reactor)
-    parts = build(at, log, reactor, server.open)
+    distributed = _distributed(configuration, at, log, reactor)
+    view, start = (None, None) if distributed is None else (distributed.view, distributed.start)
+    server = ProcessorServer(at, told, log, reactor, view)
+    parts = build(at, log, reactor, server.open, start)
     member = _member(configuration, log, reactor, parts.loop)
     reactor.serve(parts.loop)
     server.listen()
     if resp:
         parts.clients.listen(reactor, *host_port(at.listen))
+    follower = None if distributed is None else distributed.follow()
     log.event("started", gateway=at.name, listen=at.listen if resp else "")
-    left = {"processor"} | ({"resp"} if resp else set())
+    left = {"processor"} | ({"resp"} if resp else set()) | ({"view"} if follower is not None else set())
 
     def gone(which: str) -> None:
         left.discard(which)
@@ -182,12 +214,15 @@
         server.leave(partial(gone, "processor"))
         if resp:
             parts.clients.stop(reactor, partial(gone, "resp"))
+        if follower is not None:
+            follower.close(partial(gone, "view"))
 
     def counters() -> None:
         log.counters(
             open=parts.loop.unanswered, clients=parts.clients.descriptors.open,
             lines=parts.instances.descriptors.open, **server.open_now(),
             **({} if member is None else member.facts()),
+            **({} if follower is None else follower.facts()),
         )  # fmt: skip
 
     def anew() -> None:
--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 from operator import attrgetter
+from typing import Protocol
 from urllib.parse import parse_qsl
 
 from linenbridge.interface import Method
@@ -88,6 +89,14 @@
     answers: tuple[tuple[str, str | None, bool], ...]
 
 
+class Routing(Protocol):
+    """What says which RPC a request is, and the methods that it may name."""
+
+    methods: Mapping[str, Method]
+
+    def find(self, request: Request) -> Asked | None: ...
+
+
 class Table:
     """All routes of one gateway, compiled."""
 
--- /dev/null
+++ b/tests/distribution/view/test_serving.py
@@ -0,0 +1,221 @@
+"""The processor with a view: a request's authority says which set, which answers as a table of its own."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import grpc
+import pytest
+
+from linenbridge.choice import Choice
+from linenbridge.distribution.changes import Kind
+from linenbridge.distribution.view.serving import RoutesByAuthority, TenantShares
+from linenbridge.distribution.view.store import ViewStore, fingerprint
+from linenbridge.distribution.view.view import View
+from linenbridge.drill.process import free_port
+from linenbridge.process.configuration import load
+from linenbridge.routes.table import table
+from linenbridge.startup import startup as started
+from tests.distribution.view.helpers import LONGEST, METHODS, new_view
+from tests.distribution.view.model import batch, change, route_text, tenant_value
+from tests.distribution.view.test_routes import request, rules
+from tests.helpers import MS, entry, running, startup
+from tests.peer_script import ROUTES, Bench, asking
+from tests.test_interop import call
+
+ROOT = Path(__file__).parents[3]
+SETTINGS = """<linenbridge xmlns="urn:linenbridge:premises:1">
+  <processor listen="127.0.0.1:{port}">
+    <partner name="desk" address="127.0.0.0/8" attempts="2"/>
+    <routes>route own {{ when path starts "/own" method "look" }}</routes>
+  </processor>
+  <distribution role="{role}" name="g1" region="eu" store="view.db" listen="127.0.0.1:{other}">
+    <region name="eu"><relay name="g1" address="127.0.0.1:{relay}"/></region>
+  </distribution>
+</linenbridge>"""
+SETTINGS_OF_GATEWAY = SETTINGS.replace(' listen="127.0.0.1:{other}"', "").replace(
+    '<relay name="g1"', '<relay name="eu-1"'
+)
+
+
+def sets_of(names: tuple[str, ...], seeded: random.Random) -> dict[str, str]:
+    """A text for each name that passes its checks."""
+    found = {}
+    for name in names:
+        while name not in found:
+            text = rules(seeded)
+            view = new_view()
+            if not view.apply(batch(change(Kind.ROUTES, name, text.encode(), 1))).refused:
+                found[name] = text
+    return found
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_each_authority_is_answered_as_by_a_table_of_its_rules_alone(seed):
+    seeded = random.Random(f"serving/{seed}")
+    texts = sets_of(("shop", "pay"), seeded)
+    view = new_view()
+    view.apply(
+        batch(
+            *(change(Kind.ROUTES, name, text.encode(), n + 1) for n, (name, text) in enumerate(texts.items()))
+        )
+    )
+    own = table(ROUTES, METHODS, LONGEST)
+    routing = RoutesByAuthority(view, own)
+    alone = {name: table(text, METHODS, LONGEST) for name, text in texts.items()}
+    for _ in range(60):
+        asked = request(seeded)
+        for name in ("shop", "pay", "elsewhere"):
+            one = replace(asked, authority=name)
+            expected = alone.get(name, own)
+            assert routing.find(one) == expected.find(one)
+            assert routing.explain(one) == expected.explain(one)
+    assert routing.methods == own.methods
+
+
+def with_view(bench: Bench, view: View) -> Bench:
+    bench.front.table = RoutesByAuthority(view, bench.front.table)
+    return bench
+
+
+def answers(bench: Bench, requests: list[tuple[str, str]]) -> list[str]:
+    """What a proxy hears, as text, request by request."""
+    peer, told = bench.peer(), []
+    for number, (path, authority) in enumerate(requests):
+        stream = peer.open()
+        message = asking(path, f"r{number}")
+        for header in message.request_headers.headers.headers:
+            if header.key == ":authority":
+                header.raw_value = authority.encode()
+        peer.say(stream, message)
+        told.append(str(stream.answers[0]))
+        if stream.answers[0].HasField("request_headers"):
+            peer.report(stream, 200)
+    assert bench.empty()
+    return told
+
+
+REQUESTS = [
+    ("/look/1", "desk"),
+    ("/store/k1", "desk"),
+    ("/charge/x", "desk"),
+    ("/none", "desk"),
+    ("/look/2", "desk"),
+]
+
+
+def test_the_front_answers_the_same_with_the_same_rules_in_a_view():
+    view = new_view()
+    view.apply(batch(change(Kind.ROUTES, "desk", ROUTES.encode(), 1)))
+    plain, spread = Bench(), with_view(Bench(), view)
+    spread.front.table.settings = table("", startup().methods, 900 * MS)
+    assert answers(spread, REQUESTS) == answers(plain, REQUESTS)
+
+
+def test_a_change_counts_from_the_next_request_on_and_a_bad_one_changes_nothing():
+    view = new_view()
+    bench = with_view(Bench(), view)
+    view.apply(batch(change(Kind.ROUTES, "desk", route_text("look", "/a"), 1)))
+    first = answers(bench, [("/a", "desk"), ("/b", "desk")])
+    assert "request_headers" in first[0] and "immediate_response" in first[1]
+    view.apply(batch(change(Kind.ROUTES, "desk", route_text("look", "/b"), 2)))
+    second = answers(bench, [("/a", "desk"), ("/b", "desk")])
+    assert "immediate_response" in second[0] and "request_headers" in second[1]
+    assert view.apply(batch(change(Kind.ROUTES, "desk", b"route x {", 3))).refused
+    assert answers(bench, [("/b", "desk")])[0] == second[1]
+
+
+def test_shares_are_the_views_and_else_the_settings_own():
+    view = new_view()
+    view.apply(batch(change(Kind.TENANT, "t1", tenant_value(0.25), 1)))
+    shares = TenantShares(view, {"t1": 0.5, "t2": 0.75})
+    assert (shares.get("t1", 1.0), shares.get("t2", 1.0), shares.get("t3", 1.0)) == (0.25, 0.75, 1.0)
+    assert "t3" not in shares and len(shares) == 1
+    with pytest.raises(TypeError):
+        list(shares)
+
+
+def test_the_module_decides_by_the_views_shares_as_by_a_dict_of_them():
+    def decided(shares) -> list[tuple]:
+        gateway = Choice(replace(startup(gateways=1), tenant_shares=shares), 7, 0)
+        gateway.on_list(0, [entry(1)], whole=True, answers=True)
+        told, now = [], 0
+        for number in range(200):
+            now += 500
+            tenant = ("t1", "t2", "t3")[number % 3]
+            gateway.on_rpc(now, f"r{number}", "look", 50 * MS, None, tenant, None)
+            while (decision := gateway.next_decision(now)) is not None:
+                told.append(decision)
+        return told
+
+    view = new_view()
+    view.apply(batch(change(Kind.TENANT, "t1", tenant_value(0.05), 1)))
+    view.apply(batch(change(Kind.TENANT, "t2", tenant_value(0.5), 2)))
+    by_view = decided(TenantShares(view, {}))
+    assert by_view == decided({"t1": 0.05, "t2": 0.5})
+    assert by_view != decided({"t1": 0.5, "t2": 0.05})
+    assert running() is not None
+
+
+class Processor:
+    """A real processor beside a distribution whose relays nobody runs; its store has one version."""
+
+    def __init__(self, folder: Path, settings: str) -> None:
+        self.port = free_port()
+        config = json.loads((ROOT / "examples" / "config.json").read_text())
+        config["known"]["endpoints"] = [
+            {"name": "n1", "address": "127.0.0.1:7001", "status": "active", "release": 1, "zone": "a"}
+        ]
+        (folder / "c.json").write_text(json.dumps(config))
+        words = settings.format(port=self.port, relay=free_port(), other=free_port(), role="gateway")
+        (folder / "s.xml").write_text(words)
+        self.environ = {**os.environ, "LB_CONFIG": f"{folder}/c.json"}
+        self._fill(folder)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "linenbridge", "processor", "-s", f"{folder}/s.xml"],
+            env=self.environ, cwd=ROOT, stderr=subprocess.PIPE, text=True,
+        )  # fmt: skip
+        self.events: list[str] = []
+        while not self.events or self.events[-1] != "started":
+            self.events.append(json.loads(self.process.stderr.readline())["event"])
+
+    def _fill(self, folder: Path) -> None:
+        methods = started(load(self.environ).settings).methods
+        store = ViewStore(
+            str(folder / "view.db"), fingerprint(m.name for m in methods), lambda *_, **__: None
+        )
+        view = View(methods, LONGEST)
+        store.open()
+        view.apply(batch(change(Kind.ROUTES, "desk", route_text(methods[0].name, "/spread"), 1)))
+        store.write(view.dirty())
+        store.close()
+
+    def is_routed(self, path: str, authority: str) -> bool:
+        message = asking(path, f"r-{path}-{authority}")
+        for header in message.request_headers.headers.headers:
+            if header.key == ":authority":
+                header.raw_value = authority.encode()
+        with grpc.insecure_channel(f"127.0.0.1:{self.port}") as channel:
+            return next(iter(call(channel)(iter([message]), timeout=10))).HasField("request_headers")
+
+    def end(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        self.process.communicate(timeout=10)
+        return self.process.returncode
+
+
+def test_a_processor_serves_its_last_version_from_the_store_while_no_relay_answers(tmp_path):
+    processor = Processor(tmp_path, SETTINGS_OF_GATEWAY)
+    try:
+        assert "distribution.restored" in processor.events
+        assert processor.is_routed("/spread/1", "desk") and not processor.is_routed("/own", "desk")
+        assert processor.is_routed("/own", "other") and not processor.is_routed("/spread", "other")
+    finally:
+        assert processor.end() == 0
