--- a/linenbridge/distribution/view/routes.py
+++ b/linenbridge/distribution/view/routes.py
@@ -16,7 +16,7 @@
 from linenbridge.distribution.changes import RANGES, Change, Kind, digest_of, range_of
 from linenbridge.distribution.view.regions import Region, Regions
 from linenbridge.distribution.view.results import PageKind, StoredPage
-from linenbridge.distribution.view.rules import RULE_BYTES, PackedTable
+from linenbridge.distribution.view.rules import RULE_BYTES, PackedRuleList, PackedTable
 from linenbridge.distribution.view.tables import first_by_region
 from linenbridge.interface import Method
 
@@ -74,9 +74,10 @@
         for authority in list(self.compiled):
             self._drop(authority)
 
-    def _grew(self, authority: str, table: PackedTable) -> None:
+    def _grew(self, authority: str, rules: PackedRuleList) -> None:
         """A rule was compiled; the bound is held to when the next set is."""
-        if self.compiled.get(authority) is table:
+        table = self.compiled.get(authority)
+        if table is not None and table.rules is rules:
             self.cost += RULE_BYTES
 
     def _drop(self, authority: str) -> None:
--- a/linenbridge/distribution/view/rules.py
+++ b/linenbridge/distribution/view/rules.py
@@ -133,9 +133,11 @@
 class _WhenAsked(Sequence):
     """A list whose items are made when first asked for."""
 
-    def __init__(self, length: int, make: Callable[[int], Any]) -> None:
+    def __init__(self, length: int) -> None:
         self.items: list[Any] = [None] * length
-        self.make = make
+
+    def make(self, number: int) -> Any:
+        raise NotImplementedError
 
     def __len__(self) -> int:
         return len(self.items)
@@ -150,30 +152,51 @@
         return (self[number] for number in range(len(self.items)))
 
 
+class PackedRuleList(_WhenAsked):
+    """The rules of a set. `grew` is told with each one read; `cost` is what they take in memory by then."""
+
+    def __init__(self, packed: list[Raw], grew: Callable[[PackedRuleList], None] | None) -> None:
+        super().__init__(len(packed))
+        self.packed, self.grew = packed, grew
+        self.cost = ENTRY_BYTES * len(packed)
+
+    def make(self, number: int) -> Rule:
+        self.cost += RULE_BYTES
+        if self.grew is not None:
+            self.grew(self)
+        return _read_rule(self.packed[number])
+
+
+class _Conditions(_WhenAsked):
+    """The rules' conditions, compiled."""
+
+    def __init__(self, rules: PackedRuleList) -> None:
+        super().__init__(len(rules))
+        self.rules = rules
+
+    def make(self, number: int) -> Callable[[Request], bool]:
+        return compiled(self.rules[number].when)
+
+
 class PackedTable(Table):
-    """The routing table of one service, read from a packed set rule by rule as requests need them. `grew` is
-    told with each rule read; `cost` is what the table takes in memory by then, estimated in bytes."""
+    """The routing table of one service, read from a packed set rule by rule as requests need them. Nothing in
+    it refers back to it: once it is let go, its memory is free at once."""
 
     def __init__(
         self, packed: bytes, methods: dict[str, Method], longest: int,
-        grew: Callable[[PackedTable], None] | None = None,
+        grew: Callable[[PackedRuleList], None] | None = None,
     ) -> None:  # fmt: skip
         content = zlib.decompress(packed)
         found = msgspec.msgpack.decode(content, type=PackedRules)
-        self.methods, self.longest = methods, longest
-        self.paths, self.packed_rules, self.grew = found.paths, found.rules, grew
-        self.rules = _WhenAsked(len(found.rules), self._rule)
-        self.conditions = _WhenAsked(len(found.rules), self._condition)
-        self.cost = TABLE_BYTES + len(content) + ENTRY_BYTES * len(found.rules)
+        self.methods, self.longest, self.paths = methods, longest, found.paths
+        self.rules = PackedRuleList(found.rules, grew)
+        self.conditions = _Conditions(self.rules)
+        self.fixed_cost = TABLE_BYTES + len(content)
+
+    @property
+    def cost(self) -> int:
+        """Bytes in memory, estimated."""
+        return self.fixed_cost + self.rules.cost
 
     def _candidates(self, request: Request) -> Sequence[int]:
         return self.paths.candidates(request.segments)
-
-    def _rule(self, number: int) -> Rule:
-        self.cost += RULE_BYTES
-        if self.grew is not None:
-            self.grew(self)
-        return _read_rule(self.packed_rules[number])
-
-    def _condition(self, number: int) -> Callable[[Request], bool]:
-        return compiled(self.rules[number].when)
--- a/tests/distribution/view/test_routes.py
+++ b/tests/distribution/view/test_routes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import re
+import weakref
 
 import pytest
 
@@ -98,6 +100,18 @@
     assert [rule is not None for rule in packed.rules.items].count(True) == 1
 
 
+def test_a_table_that_is_let_go_is_freed_at_once():
+    packed = PackedTable(pack_rules(table('route a { when always method "look" }', METHODS, 1)), BY_NAME, 1)
+    assert packed.find(Request()) is not None
+    known = weakref.ref(packed.rules)
+    gc.disable()
+    try:
+        del packed
+        assert known() is None
+    finally:
+        gc.enable()
+
+
 def test_limits_hold_for_each_set():
     rule = 'route r{0} {{ when path is "/{0}" method "look" }}'
     most = "\n".join(rule.format(number) for number in range(100))
