--- a/linenbridge/distribution/view/refusals.py
+++ b/linenbridge/distribution/view/refusals.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self.records: dict[Key, Refusal] = {}
+        self.by_range: dict[tuple[str, int], set[Key]] = {}
         self.changed: set[Key] = set()
 
     def digest(self, region: Region, kind: int, name: str) -> int | None:
@@ -40,18 +41,26 @@
 
     def put(self, region: Region, change: Change, reason: str) -> None:
         key = region.name, change.kind, change.name
-        self.records[key] = Refusal(change.epoch, change.sequence, digest_of(change), reason)
+        self._add(key, Refusal(change.epoch, change.sequence, digest_of(change), reason))
         self.changed.add(key)
 
+    def _add(self, key: Key, record: Refusal) -> None:
+        self.records[key] = record
+        self.by_range.setdefault(_range(key), set()).add(key)
+
     def remove(self, region: Region, kind: int, name: str) -> None:
         key = region.name, kind, name
         if self.records.pop(key, None) is not None:
             self.changed.add(key)
+            held = self.by_range[_range(key)]
+            held.remove(key)
+            if not held:
+                del self.by_range[_range(key)]
 
     def retain(self, region: Region, number: int, keys: Collection[tuple[int, str]]) -> None:
         """Of a range, keep the region's refusals of these keys only."""
-        for place, kind, name in list(self.records):
-            if place == region.name and range_of(kind, name) == number and (kind, name) not in keys:
+        for _, kind, name in list(self.by_range.get((region.name, number), ())):
+            if (kind, name) not in keys:
                 self.remove(region, kind, name)
 
     def all(self) -> Iterator[RefusedChange]:
@@ -69,4 +78,9 @@
 
     def load(self, page: StoredPage) -> None:
         key = msgspec.json.decode(page.name, type=Key)
-        self.records[key] = msgspec.msgpack.decode(page.body or b"", type=Refusal)
+        self._add(key, msgspec.msgpack.decode(page.body or b"", type=Refusal))
+
+
+def _range(key: Key) -> tuple[str, int]:
+    region, kind, name = key
+    return region, range_of(kind, name)
