--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -160,7 +160,7 @@
     request = Request(authority, path, verb, "http", headers, attributes)
     asked, steps = table.find(request), table.explain(request)
     if as_json:
-        found = None if asked is None else {name: getattr(asked, name) for name in asked.__slots__}
+        found = None if asked is None else {name: getattr(asked, name) for name in asked.__struct_fields__}
         rows = [{"route": s.rule, "took": s.took, "answers": [list(a) for a in s.answers]} for s in steps]
         print(json.dumps({"rpc": found, "routes": rows}))
     else:
--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -15,6 +15,8 @@
 from typing import Protocol
 from urllib.parse import parse_qsl
 
+from msgspec import Struct
+
 from linenbridge.interface import Method
 from linenbridge.routes.checks import check, choice, possible
 from linenbridge.routes.language import (
@@ -67,8 +69,7 @@
         return getattr(self, subject.kind)
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(Struct, frozen=True):
     """The RPC that a request is. Times are microseconds; `cost` is a hint at the work, None where unknown."""
 
     rule: str
