--- a/linenbridge/distribution/configuration.py
+++ b/linenbridge/distribution/configuration.py
@@ -60,6 +60,7 @@
     platform: str
     rate: int
     rate_between_regions: int
+    compiled_routes: int
     gather: int
     heartbeat: int
     silence: int
@@ -102,7 +103,7 @@
         Role(said["role"]), said["name"], said["region"], None if listen is None else _address(listen),
         configuration.beside(said["store"]), said["store-never-goes-back"] in ("true", "1"),
         configuration.beside(said["platform"]),
-        size(said["rate"]), size(said["rate-between-regions"]),
+        size(said["rate"]), size(said["rate-between-regions"]), size(said["compiled-routes"]),
         duration(said["gather"]), duration(said["heartbeat"]), duration(said["silence"]),
         int(said["followers"]), int(said["authors"]), regions,
     )  # fmt: skip
--- a/linenbridge/distribution/hosting/gateway.py
+++ b/linenbridge/distribution/hosting/gateway.py
@@ -21,7 +21,7 @@
 from linenbridge.distribution.hosting.methods import Methods
 from linenbridge.distribution.hosting.words import FOLLOWER_TAKES
 from linenbridge.distribution.hosting.writer import GroupWriter
-from linenbridge.distribution.view.results import Applied, StoredPage
+from linenbridge.distribution.view.results import Applied, StoredPage, ViewLimits
 from linenbridge.distribution.view.store import ViewStore, fingerprint, restored
 from linenbridge.distribution.view.view import View
 from linenbridge.fleet.hosting import clock
@@ -208,8 +208,10 @@
     """The view of the last life where the settings name a store that holds one, else a new one. `unix_offset`
     is the view's."""
 
+    limits = ViewLimits(compiled_bytes=settings.compiled_routes)
+
     def new_view() -> View:
-        return View(methods.methods, methods.longest, unix_offset)
+        return View(methods.methods, methods.longest, unix_offset, limits)
 
     if not settings.store:
         return new_view(), None
--- a/linenbridge/distribution/view/results.py
+++ b/linenbridge/distribution/view/results.py
@@ -18,8 +18,8 @@
 
 
 class ViewLimits(Struct, frozen=True):
-    """Bounds of one view. `compiled_bytes` is what route sets unpacked for look-ups may take, estimated;
-    `examined` how many changes may be checked ahead of their turn."""
+    """Bounds of one view. `compiled_bytes` is what route sets unpacked for look-ups may take, estimated (the
+    settings' `compiled-routes`); `examined` how many changes may be checked ahead of their turn."""
 
     compiled_bytes: int = 6_000_000
     examined: int = 256
--- a/linenbridge/processor/distributed.py
+++ b/linenbridge/processor/distributed.py
@@ -12,8 +12,8 @@
 from random import Random
 from typing import Any
 
-from linenbridge.configuration.read import Configuration, ConfigurationError
-from linenbridge.distribution.configuration import Role, distribution
+from linenbridge.configuration.read import Configuration
+from linenbridge.distribution.configuration import distribution
 from linenbridge.distribution.hosting.gateway import Gateway, open_view
 from linenbridge.distribution.hosting.methods import methods_in
 from linenbridge.distribution.view.serving import TenantShares
@@ -37,12 +37,10 @@
 def distributed(
     configuration: Configuration, at: ProcessConfiguration, log: Log, reactor: Any
 ) -> Distributed | None:
-    """This process's part in the distribution; ConfigurationError where it is not a gateway's."""
+    """This process's part in the distribution; ConfigurationError where that is not a gateway's."""
     settings = distribution(configuration)
     if settings is None:
         return None
-    if settings.role != Role.GATEWAY:
-        raise ConfigurationError(f"{configuration.path}: beside a processor a distribution is a gateway's")
     view, store = open_view(settings, methods_in(at), log)
     start = startup(at.settings)
     start = replace(start, tenant_shares=TenantShares(view, start.tenant_shares))
--- a/tests/distribution/view/test_serving.py
+++ b/tests/distribution/view/test_serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import os
 import random
@@ -17,11 +18,17 @@
 
 from linenbridge.choice import Choice
 from linenbridge.distribution.changes import Kind
+from linenbridge.configuration.read import ConfigurationError, read
+from linenbridge.distribution.configuration import distribution
+from linenbridge.distribution.hosting.gateway import open_view
+from linenbridge.distribution.hosting.methods import Methods
+from linenbridge.net.log import Log
 from linenbridge.distribution.view.serving import RoutesByAuthority, TenantShares
 from linenbridge.distribution.view.store import ViewStore, fingerprint
 from linenbridge.distribution.view.view import View
 from linenbridge.drill.process import free_port
 from linenbridge.process.configuration import load
+from linenbridge.processor.distributed import distributed
 from linenbridge.routes.table import table
 from linenbridge.startup import startup as started
 from tests.distribution.view.helpers import LONGEST, METHODS, new_view
@@ -38,13 +45,10 @@
     <partner name="desk" address="127.0.0.0/8" attempts="2"/>
     <routes>route own {{ when path starts "/own" method "look" }}</routes>
   </processor>
-  <distribution role="{role}" name="g1" region="eu" store="view.db" listen="127.0.0.1:{other}">
-    <region name="eu"><relay name="g1" address="127.0.0.1:{relay}"/></region>
+  <distribution role="gateway" name="g1" region="eu" store="view.db"{more}>
+    <region name="eu"><relay name="eu-1" address="127.0.0.1:{relay}"/></region>
   </distribution>
 </linenbridge>"""
-SETTINGS_OF_GATEWAY = SETTINGS.replace(' listen="127.0.0.1:{other}"', "").replace(
-    '<relay name="g1"', '<relay name="eu-1"'
-)
 
 
 def sets_of(names: tuple[str, ...], seeded: random.Random) -> dict[str, str]:
@@ -166,15 +170,14 @@
 class Processor:
     """A real processor beside a distribution whose relays nobody runs; its store has one version."""
 
-    def __init__(self, folder: Path, settings: str) -> None:
+    def __init__(self, folder: Path) -> None:
         self.port = free_port()
         config = json.loads((ROOT / "examples" / "config.json").read_text())
         config["known"]["endpoints"] = [
             {"name": "n1", "address": "127.0.0.1:7001", "status": "active", "release": 1, "zone": "a"}
         ]
         (folder / "c.json").write_text(json.dumps(config))
-        words = settings.format(port=self.port, relay=free_port(), other=free_port(), role="gateway")
-        (folder / "s.xml").write_text(words)
+        (folder / "s.xml").write_text(SETTINGS.format(port=self.port, relay=free_port(), more=""))
         self.environ = {**os.environ, "LB_CONFIG": f"{folder}/c.json"}
         self._fill(folder)
         self.process = subprocess.Popen(
@@ -210,8 +213,25 @@
         return self.process.returncode
 
 
+def test_the_settings_bound_the_compiled_routes(tmp_path):
+    for said, expected in (("", 6 << 20), (' compiled-routes="100K"', 100 << 10)):
+        (tmp_path / "s.xml").write_text(SETTINGS.format(port=1, relay=2, more=said))
+        settings = distribution(read(str(tmp_path / "s.xml")))
+        view, store = open_view(settings, Methods(METHODS, LONGEST), Log(io.BytesIO()))
+        store.close()
+        assert view.by_authority.compiled_bytes == expected
+
+
+def test_beside_a_processor_a_distribution_is_a_gateways(tmp_path):
+    words = SETTINGS.format(port=1, relay=2, more=' listen="127.0.0.1:2"').replace('"gateway"', '"relay"')
+    (tmp_path / "view.db").mkdir()
+    (tmp_path / "s.xml").write_text(words.replace('name="g1"', 'name="eu-1"'))
+    with pytest.raises(ConfigurationError, match="serves no proxies"):
+        distributed(read(str(tmp_path / "s.xml")), None, None, None)
+
+
 def test_a_processor_serves_its_last_version_from_the_store_while_no_relay_answers(tmp_path):
-    processor = Processor(tmp_path, SETTINGS_OF_GATEWAY)
+    processor = Processor(tmp_path)
     try:
         assert "distribution.restored" in processor.events
         assert processor.is_routed("/spread/1", "desk") and not processor.is_routed("/own", "desk")
