A discovery that refuses is asked ever less often and at random

Up to 25 s 96 gateways had their list back after discovery's 8 s down; after that none. Excluded: unreadable lists (every line is "answered with status 503"), the silence clock (no stream was up), the module. To blame: Follow.ended waited connect_wait, 0.15 s there, after each refusal, at all gateways alike: the fleet's repeats kept discovery overbooked, so the restarted went on by the list of their start while its changes counted as told.

Change: after an answer that ended without a word the wait is between one and 2^n times connect_wait, n the refusals in a row, 16 times at the most, drawn from the process's seed; a line that can be read ends the row. First waits, streams that spoke, connections that fail and silence are as before.

--- a/linenbridge/net/follow.py
+++ b/linenbridge/net/follow.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from math import inf
+from random import Random
 from typing import Any
 
 from twisted.internet.protocol import ClientCreator, Protocol
@@ -20,6 +21,7 @@
 
 MISSED = 3  # signs of life left out before a silent connection is doubted
 HTTP_OK = 200
+REFUSED_MOST = 16  # the longest wait after refusals in a row, in waits for a connection
 
 
 class Stream(Protocol):
@@ -59,9 +61,11 @@
         self, name: str, reactor: Any, address: tuple[str, int], path: Callable[[], str],
         told: Callable[[memoryview], None], sign: float, connect_wait: int, most: int, log: Log,
         cut: Callable[[int], http.Cutter] = http.Lines, told_anyway: float = inf,
+        random: Random | None = None,
     ) -> None:  # fmt: skip
         self.name, self.reactor, self.address, self.path, self.told = name, reactor, address, path, told
         self.connect_wait = connect_wait / 1e6
+        self.random, self.refusals = random or Random(0), 0
         # What a silent stream misses may count as told after a while: another has come up and spoken by then,
         # half a sign's time to spare, but none is asked for before one and a half have passed.
         early = max(1.5 * sign, told_anyway - sign / 2 - self.connect_wait)
@@ -129,7 +133,7 @@
                 read_out(other.transport)
         if bytes(line).strip():
             self.told(line)
-        stream.spoke = True
+        stream.spoke, self.refusals = True, 0
         first, self.first = self.first, lambda: None
         first()
         if present:
@@ -152,7 +156,14 @@
             self.streams.remove(stream)
         if not dropped and not self.streams and self.coming is None:
             self._state(False, "ended")
-            self._arm(0 if stream.spoke else self.connect_wait)
+            self._arm(0 if stream.spoke else self._refused())
+
+    def _refused(self) -> float:
+        """How long to wait after an answer that ended without a word, in s: a server that a whole fleet asks
+        anew at once goes on refusing, so the wait's longest doubles each time, and its length is random."""
+        longest = min(2**self.refusals, REFUSED_MOST)
+        self.refusals += 1
+        return self.connect_wait * self.random.uniform(1, longest)
 
     def _state(self, well: bool, why: str) -> None:
         if well != self.well:
--- a/linenbridge/process/parts.py
+++ b/linenbridge/process/parts.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from random import Random
 from typing import Any, NamedTuple
 
 from linenbridge.choice import Choice
@@ -57,7 +58,10 @@
     )
     # A list, or half-read commands, beyond this would not be held anyway.
     line_most = int(at.limits.memory_mb * (1 << 20)) // 16
-    follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
+    random = Random(int(at.seed, 16))
+    follow = partial(
+        Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log, random=random
+    )
     unix_offset = now() - time.time_ns() // 1000
     takers = (instances,) if more is None else (instances, more(loop))
     discovery = Discovery(
--- a/tests/net/test_streams.py
+++ b/tests/net/test_streams.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from itertools import pairwise
+from random import Random
 
 import pytest
 from twisted.internet.error import ConnectionLost, ConnectionRefusedError
@@ -10,6 +12,7 @@
 
 from linenbridge import interface as face
 from linenbridge.net.discovery import SIGN_OF_LIFE, TOLD_ANYWAY
+from linenbridge.net.follow import REFUSED_MOST
 
 from tests.net.bench import HEAD, STAGE, chunk
 
@@ -181,3 +184,39 @@
     bench.turn(5)
     votes = [told for told in bench.module.told if told[0] == "on_stage" and told[5]]
     assert [told[6:] for told in votes] == [(valid, moot)] and len(bench.reactor.tcpClients) == 1
+
+
+STEP = 0.02  # s, of the clock in memory
+REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+def dials_while_refused(bench, random: Random, seconds: float) -> list[float]:
+    """When a discovery that refuses each call was dialled."""
+    bench.discovery.follow.random, dialled = random, []
+    for _ in range(int(seconds / STEP)):
+        if bench.dialled < len(bench.reactor.tcpClients):
+            dialled.append(bench.reactor.seconds())
+            bench.up().protocol.dataReceived(REFUSED)
+        bench.turn(STEP)
+    return dialled
+
+
+def test_a_discovery_that_refuses_is_asked_ever_less_often_and_at_random(bench):
+    """Seen on grain-scales, herd+mass: 140 restarted gateways asked an overbooked discovery four times a
+    second each and had no list for the rest of the day; 274 picks went to what had gone."""
+    bench.discovery.start()
+    dialled = dials_while_refused(bench, Random(1), 20.0)
+    waits = [after - before for before, after in pairwise(dialled)]
+    assert min(waits) >= 0.2 - STEP and max(waits) <= 0.2 * REFUSED_MOST + 2 * STEP
+    assert 8 <= len(dialled) <= 25, "a fleet's calls stay under what refuses them, and none gives up"
+    assert len({round(wait, 2) for wait in waits[5:]}) > 3
+    stream = bench.up() if bench.dialled < len(bench.reactor.tcpClients) else None
+    while stream is None:
+        bench.turn(STEP)
+        stream = bench.up() if bench.dialled < len(bench.reactor.tcpClients) else None
+    stream.protocol.dataReceived(HEAD + b"1\r\n\n\r\n")
+    stream.lose()
+    bench.turn(STEP)
+    bench.up().protocol.dataReceived(REFUSED)
+    bench.turn(0.2 + STEP)
+    assert bench.dialled < len(bench.reactor.tcpClients), "once it has spoken the first wait is short again"
