Capacity page: instances, tenants and peers as they are kept now, beside the text before

Need: the page's rows of the view, tenants and peers' counts were of the text before the bounds. Change: the programs' rows of both texts, measured one after the other, and a zone gone at once; a peer's message is measured with a token that was not told of yet; the page names what carries each.

--- a/tests/scale/measure/peers.py
+++ b/tests/scale/measure/peers.py
@@ -14,6 +14,7 @@
 MEASURED_BY = "tests.scale.measure.peers"
 SIZES = (32, 320, 3_200, 32_000)
 METHODS, BUILDS, PEERS = 3, (1, 2), 3_200
+NEXT = 0xFFFF  # the token of a life that was not told of yet
 BOUNDS = HeardBounds(PEERS, BUILDS_HEARD, LIVES_HEARD)
 
 
@@ -37,7 +38,7 @@
 def message_time(lives: int) -> float:
     """Microseconds to take in one message with something new."""
     heard = told(lives)
-    messages = [words(1, picks) for picks in range(21, 1_021)]
+    messages = [words(NEXT, picks) for picks in range(21, 1_021)]
     peer = iter(range(1_000_000))
 
     def take() -> None:
--- a/tests/scale/page/gateway.py
+++ b/tests/scale/page/gateway.py
@@ -109,6 +109,7 @@
     outcomes_a_second = size.requests_a_gateway / size.fleet.services * trial
     outcomes = outcomes_a_second / trial * release.stage_s * release.share_on_trial
     lives = size.gateway_restarts_a_day * release.peer_lives_kept_days + size.fleet.gateways
+    kept = size.fleet.gateways * BUILDS * METHODS
     words = BUILDS * (PEER_HEAD_BYTES + METHODS * PEER_ROW_BYTES)
     told = -(-PEERS_TOLD // release.share_on_trial) * words * trial
     on_trial = size.instances_a_service
@@ -126,13 +127,13 @@
         ),
         Row(
             role=RELEASES, what="entries of peers' counts", unit="number",
-            mechanism="`state/peers.py`: by peer, life, build and method",
-            ordinary=Figure(size.fleet.gateways * BUILDS * METHODS), burst=Figure(lives * BUILDS * METHODS),
+            mechanism="`state/peers.py`: the present life of each peer, by build and method",
+            ordinary=Figure(kept), burst=Figure(kept),
             burst_is=f"after {release.peer_lives_kept_days:g} days of restarts",
         ),
         Row(
             role=RELEASES, what="memory of peers' counts", unit="bytes",
-            mechanism="`state/peers.py`: by peer, life, build and method, never let go",
+            mechanism="`state/peers.py`: the present life of each peer, by build and method",
             ordinary=costs.at(role, "memory of peers' counts", size.fleet.gateways),
             burst=costs.at(role, "memory of peers' counts", lives),
             burst_is=f"after {release.peer_lives_kept_days:g} days of restarts", budget=size.memory,
@@ -173,7 +174,7 @@
         ),
         Row(
             role=INSTANCES, what="processor time of changes, in the view alone", unit="core",
-            mechanism="`state/fleet.py`: a change sorts all anew",
+            mechanism="`state/fleet.py`: by two bisections and the sums after it",
             ordinary=costs.scaled(role, "one change", count, rate * MICROSECOND),
             budget=size.budget.core_share, **costs.versions(role, "one change", count, rate * MICROSECOND),
         ),
@@ -300,7 +301,7 @@
         ),
         Row(
             role=ROUTES, what="memory of tenants", unit="bytes",
-            mechanism="`state/counters.py`: a rate for each, beside the settings' table of shares",
+            mechanism="`state/counters.py`: rates of those seen lately, beside the settings' table of shares",
             ordinary=_sum(
                 costs.at(role, "memory of the rates", count), costs.at(role, "memory of the shares", count)
             ),
