--- a/tests/scale/slopes.py
+++ b/tests/scale/slopes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import sys
 from pathlib import Path
 
 import msgspec
@@ -89,3 +90,8 @@
     if said.state is not None:
         rows = [msgspec.structs.replace(row, state=said.state) for row in rows]
     merge(rows, said.slopes)
+
+
+if __name__ == "__main__":
+    # `python -m tests.scale.slopes FILE`: the rows of another file, as of another branch, into this one.
+    merge(load(Path(sys.argv[1])))
