Distribution: an author that waits holds no value; the log explored with publishers cut off from relays

Up to 20,000 authors that wait to hear of 'in force' each kept their change's value, 48 KB at the most. Walks of the explored world hardly ever replaced an uncommitted entry: publishers and relays are now parted for a while, alone and with slow disks.

--- a/linenbridge/distribution/authors.py
+++ b/linenbridge/distribution/authors.py
@@ -23,17 +23,19 @@
 
 @dataclass
 class Waiting:
-    """One author's change. `version` is START until it is appended; `late` once `unconfirmed` was said."""
+    """One author's change. `version` is START until it is appended, `publish` None from then on; `late` once
+    `unconfirmed` was said."""
 
     author: str
-    publish: Publish
+    request: int
     deadline: int
+    publish: Publish | None
     version: Version = START
     late: bool = False
 
     def answer(self, state: str, code: str = "", unreached: list[str] | None = None, count: int = 0) -> Send:
         names = (unreached or [])[:UNREACHED_MOST]
-        return Send(self.author, Published(self.publish.request, state, self.version, code, names, count))
+        return Send(self.author, Published(self.request, state, self.version, code, names, count))
 
 
 class Authors:
@@ -53,21 +55,20 @@
         if len(self._queue) >= QUEUED_MOST or self._queued_bytes + size > QUEUED_BYTES:
             self.refuse(author, publish, PublisherBusy)
             return
-        self._queue.append(Waiting(author, publish, deadline))
+        self._queue.append(Waiting(author, publish.request, deadline, publish))
         self._queued_bytes += size
 
     def refuse(self, author: str, publish: Publish, error: type[Refusal]) -> None:
         """A change that is not appended and will not be."""
-        self.out.append(Waiting(author, publish, 0).answer("refused", error.code))
+        self.out.append(Waiting(author, publish.request, 0, None).answer("refused", error.code))
 
     def next_to_append(self) -> Publish | None:
         return self._queue[0].publish if self._queue else None
 
     def on_append(self, version: Version) -> None:
         """The next one is in the publisher's log at this version."""
-        waiting = self._queue.popleft()
-        self._queued_bytes -= len(waiting.publish.value)
-        waiting.version = version
+        waiting = self._take_from_queue()
+        waiting.version, waiting.publish = version, None
         self._appended.append(waiting)
 
     def on_committed(self, sequence: int) -> None:
@@ -88,9 +89,7 @@
     def on_time(self, now: int) -> None:
         """Answers that are due whatever happens."""
         while self._queue and self._queue[0].deadline <= now:
-            waiting = self._queue.popleft()
-            self._queued_bytes -= len(waiting.publish.value)
-            self.out.append(waiting.answer("refused", PublisherBusy.code))
+            self.out.append(self._take_from_queue().answer("refused", PublisherBusy.code))
         for waiting in self._appended:
             if waiting.deadline > now:
                 break
@@ -118,3 +117,8 @@
         queued = [self._queue[0].deadline] if self._queue else []
         unsure = [waiting.deadline for waiting in self._appended if not waiting.late][:1]
         return min(queued + unsure, default=None)
+
+    def _take_from_queue(self) -> Waiting:
+        waiting = self._queue.popleft()
+        self._queued_bytes -= len(waiting.publish.value)
+        return waiting
--- a/linenbridge/distribution/log.py
+++ b/linenbridge/distribution/log.py
@@ -12,6 +12,7 @@
 
 from bisect import bisect_right
 from collections import deque
+from contextlib import suppress
 from typing import NamedTuple
 
 from linenbridge.distribution.changes import START, Change, Kind, Version
@@ -169,7 +170,8 @@
         if change.kind != Kind.LOG or not change.name:
             return
         relay, _, number = change.name.rpartition("/")
-        self.lives[relay] = Life(int(number, 16), change.sequence)
+        with suppress(ValueError):
+            self.lives[relay] = Life(int(number, 16), change.sequence)
 
     def _make_order_anew(self) -> None:
         if len(self._order) > 2 * len(self._entries) + HOLES_LEAST:
--- a/linenbridge/distribution/peers.py
+++ b/linenbridge/distribution/peers.py
@@ -20,6 +20,7 @@
 
 MESSAGES_MOST = 8  # under way to one relay
 WINDOW_BYTES = 256_000  # of entries under way to one relay, one message more at the most
+FORMER_MOST = 64  # lives of one relay that are remembered as over
 JITTER = 0.5  # part by which waits are longer by chance
 
 
@@ -48,7 +49,7 @@
 
     def __init__(self, name: str, pace: PublisherPace, random: Random) -> None:
         self.name, self.pace, self.random = name, pace, random
-        self.former: set[int] = set()  # lives that are over
+        self.former: deque[int] = deque(maxlen=FORMER_MOST)  # lives that are over
         self.life = 0
         self.begin(0)
 
@@ -71,14 +72,14 @@
         if life in self.former:
             return False
         if self.life not in (0, life):
-            self.former.add(self.life)
+            self.former.append(self.life)
             self.begin(0)
         self.life = life
         return True
 
     def distrust(self) -> None:
         """This life of the relay turned out to be over."""
-        self.former.add(self.life)
+        self.former.append(self.life)
         self.life = 0
         self.begin(0)
 
--- a/tests/distribution/log/checker.py
+++ b/tests/distribution/log/checker.py
@@ -37,6 +37,7 @@
         self.handed_on = dict.fromkeys(relays, 0)
         self.promised = dict.fromkeys(relays, 0)
         self.delivering: tuple[str, int] | None = None  # a relay, and the epoch of an Append
+        self.truncated = 0  # entries that relays replaced
         self.breach: str | None = None
 
     # ---- authors -----------------------------------------------------------------------------------------
@@ -112,6 +113,7 @@
     def _truncate(self, relay: str, disk: Disk, after: int) -> None:
         if after < disk.committed:
             self._break(f"{relay} dropped committed entries behind {after}")
+        self.truncated += sum(sequence > after for sequence in disk.rows)
         disk.rows = {sequence: row for sequence, row in disk.rows.items() if sequence <= after}
 
     def _commit(self, relay: str, disk: Disk, committed: int) -> None:
--- a/tests/distribution/log/test_region.py
+++ b/tests/distribution/log/test_region.py
@@ -6,9 +6,12 @@
 
 import pytest
 
+from linenbridge.distribution.authors import QUEUED_MOST
 from linenbridge.distribution.changes import VALUE_MOST, Kind, Position, Version
-from linenbridge.distribution.log import Log
-from linenbridge.distribution.messages import Progress, Publish, Summary
+from linenbridge.distribution.log import PAGE_BYTES, Log
+from linenbridge.distribution.messages import Appended, Progress, Publish, Summary
+from linenbridge.distribution.peers import MESSAGES_MOST, WINDOW_BYTES
+from linenbridge.distribution.publisher import UNCOMMITTED_MOST
 from linenbridge.distribution.replica import Kept
 from tests.distribution.log.world import PACE, REGION, Region
 
@@ -347,3 +350,64 @@
     region.restart("c", Kept())
     region.run(4 * PACE.retry_most)
     assert kept_keys(region, "c") == kept_keys(region, "a") and "key-0" not in kept_keys(region, "c")
+
+
+def test_the_largest_change_fits_into_a_message_and_pages_stay_below_it():
+    """`Region` holds each message against the bound of a link."""
+    region = Region()
+    publisher = region.publisher("p", 1)
+    for number in range(3):
+        name = f"{number}" + "é" * 200
+        message = Publish(number, REGION, Kind.ROUTES, name, bytes([255]) * VALUE_MOST)
+        publisher.on_publish(region.now, "author", message)
+    fill(region, 100, size=400)
+    region.restart("a", Kept())
+    region.run(4 * PACE.retry_most)
+    assert states(region)[:3] == [(0, "accepted"), (1, "accepted"), (2, "accepted")]
+    assert equal_logs(region) and region.replicas["a"].member
+
+
+def test_what_waits_is_bounded_and_further_changes_are_refused():
+    region = Region()
+    publisher = region.publisher("p", 1)
+    region.down = {"b", "c"}
+    for number in range(UNCOMMITTED_MOST + QUEUED_MOST + 10):
+        publisher.on_publish(region.now, "author", Publish(number, REGION, Kind.TENANT, "k", b"1"))
+        if number < 2 * UNCOMMITTED_MOST:
+            region.settle()
+    region.settle()
+    assert {code for _, code in codes(region)} == {"busy"}
+    assert publisher.log.last.sequence - publisher.log.committed <= UNCOMMITTED_MOST
+    busy = len(codes(region))
+    large = Publish(1, REGION, Kind.ROUTES, "k", b"x" * VALUE_MOST)
+    for _ in range(10):
+        publisher.on_publish(region.now, "author", large)
+    region.settle()
+    assert len(codes(region)) == busy + 10
+
+
+def test_a_relay_that_takes_nothing_costs_one_window_and_then_a_few_bytes():
+    region = Region()
+    publisher = region.publisher("p", 1)
+    region.down = {"c"}
+    fill(region, 500)
+    peer = publisher.peers["c"]
+    assert sum(message.size for message in peer.under_way) <= WINDOW_BYTES + PAGE_BYTES
+    assert len(peer.under_way) <= MESSAGES_MOST
+    region.run(PACE.retry_most)
+    assert peer.careful and len(peer.under_way) == 1 and peer.under_way[0].size == 0
+
+
+def test_a_life_that_is_over_is_never_heard_again():
+    """A late answer of a relay's earlier life says nothing of what it has now."""
+    region = Region()
+    publisher = region.publisher("p", 1)
+    life = region.replicas["a"].life
+    region.restart("a", Kept())
+    region.down = {"a"}
+    region.run(PACE.heartbeat)
+    region.down = set()
+    region.run(4 * PACE.retry_most)
+    acked = publisher.peers["a"].acked
+    publisher.on_appended(region.now, Appended(REGION, 1, "a", acked + 100, "", life))
+    assert publisher.peers["a"].acked == acked and publisher.peers["a"].life != life
--- a/tests/distribution/log/test_store.py
+++ b/tests/distribution/log/test_store.py
@@ -6,6 +6,7 @@
 import shutil
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
@@ -18,7 +19,10 @@
 from linenbridge.distribution.messages import Append, Prepare
 from linenbridge.distribution.replica import Kept, Replica
 from linenbridge.distribution.store.log import FILE_NAME, RelayLog
+from tests.distribution.log.explored import LogScenario, LogWorld
+from tests.distribution.log.schedules import DELETES
 
+SEED = 3  # of a walk in which entries are replaced and deletions let go
 ENTRIES = [sealed("north", Version(1, n), Kind.TENANT, f"t{n}", b"%d" % n) for n in range(1, 6)]
 
 
@@ -141,3 +145,33 @@
     store._connection.execute("pragma query_only=1")
     with pytest.raises(RelayStoreError, match="ReadOnlyError"):
         store.keep([keep(1, changes=ENTRIES)])
+
+
+class RecordedWorld(LogWorld):
+    """Remembers what relay b writes."""
+
+    def __init__(self, scenario: LogScenario) -> None:
+        self.written: list[Keep] = []
+        super().__init__(scenario)
+
+    def _write(self, name: str, core: Replica, keep: Keep) -> None:
+        if name == "b":
+            self.written.append(keep)
+        super()._write(name, core, keep)
+
+
+def test_the_file_holds_what_the_explored_worlds_take_a_disk_to_hold(tmp_path):
+    """Every Keep of a walk with faults, truncations and deletions that are let go among them."""
+    faults = ("part", "part", "part", "replace", "kept")
+    scenario = replace(DELETES, ticks=120, publish_at=tuple(range(1, 120)), faults=faults, slow_disks=True)
+    world, dice = RecordedWorld(scenario), Random(SEED)
+    while not world.over():
+        options = world.choices()
+        world.take(dice.choice(options) if dice.random() < 0.3 else options[0])
+    store = opened(tmp_path)
+    for first in range(0, len(world.written), 3):
+        store.keep(world.written[first : first + 3])
+    store.close()
+    kept = RelayLog(str(tmp_path), "north").read()
+    assert kept == world.disks["b"][-1]
+    assert kept.settled > 0 and any(keep.truncate_after is not None for keep in world.written)
--- a/tests/distribution/log/world.py
+++ b/tests/distribution/log/world.py
@@ -8,6 +8,8 @@
 from collections import deque
 from random import Random
 
+from msgspec import msgpack
+
 from linenbridge.distribution.changes import Change
 from linenbridge.distribution.decisions import Committed, Event, Keep, Send
 from linenbridge.distribution.messages import (
@@ -24,6 +26,7 @@
 from linenbridge.distribution.peers import PublisherPace
 from linenbridge.distribution.publisher import Publisher
 from linenbridge.distribution.replica import Kept, Replica
+from linenbridge.fleet.hosting.links import WORD_MOST
 
 REGION = "north"
 PACE = PublisherPace(heartbeat=100, retry=50, retry_most=200, answer_within=2_000, silence=1_000)
@@ -146,6 +149,7 @@
             self.told.append((send.to, send.message))
         elif not {name, send.to} & self.down:
             self.sent += 1
+            assert len(msgpack.encode(send.message)) <= WORD_MOST
             self.flying.append((name, send.to, send.message))
 
     def _deliver(self, sender: str, to: str, message: Message) -> None:
