--- a/tests/distribution/log/test_region.py
+++ b/tests/distribution/log/test_region.py
@@ -411,3 +411,22 @@
     acked = publisher.peers["a"].acked
     publisher.on_appended(region.now, Appended(REGION, 1, "a", acked + 100, "", life))
     assert publisher.peers["a"].acked == acked and publisher.peers["a"].life != life
+
+
+@pytest.mark.parametrize("trusted", [True, False])
+def test_a_relay_that_restarts_while_another_is_away(trusted):
+    """Without the operator's word that disks never go back, too few lives count until all relays are there:
+    also one with an empty disk under the missing relay's name."""
+    region = Region(trusted=trusted)
+    region.publisher("p", 1)
+    region.publish("p", "one", b"1", 1)
+    region.down = {"a"}
+    region.restart("b")
+    region.publish("p", "two", b"2", 2)
+    region.run(4 * PACE.retry_most)
+    assert ((2, "accepted") in states(region)) == trusted
+    region.down = set()
+    region.restart("a", Kept())
+    region.run(4 * PACE.retry_most)
+    assert (2, "accepted") in states(region)
+    assert all(replica.member for replica in region.replicas.values()) and equal_logs(region)
