View: sets and services of a range in one piece of bytes; packed rules share a dictionary

Each of 17,800 sets and services cost some 200 bytes for a dict entry and two objects; a range's are one piece of bytes now, 6 bytes beside each. The bound of compiled routes is 4M by default.

--- a/linenbridge/distribution/view/instances.py
+++ b/linenbridge/distribution/view/instances.py
@@ -16,6 +16,7 @@
 from linenbridge.distribution.changes import (
     RANGES, Change, InstanceValue, Kind, digest_of, range_of,
 )  # fmt: skip
+from linenbridge.distribution.view.packing import entry, names, replaced, value_of
 from linenbridge.distribution.view.regions import Region, Regions
 from linenbridge.distribution.view.results import PageKind, StoredPage
 from linenbridge.distribution.view.tables import first_by_region
@@ -47,6 +48,7 @@
 Records = dict[tuple[str, int], InstanceRecord]  # by instance and region
 _encode = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(list[InstanceRecord]).decode
+_decode_pages = msgspec.msgpack.Decoder(tuple[bytes, ...]).decode
 _read = msgspec.msgpack.Decoder(list[ReadRecord]).decode
 
 
@@ -121,7 +123,8 @@
 
     def __init__(self, regions: Regions) -> None:
         self.regions = regions
-        self.pages: list[dict[str, tuple[bytes, ...]]] = [{} for _ in range(RANGES)]
+        self.pieces = [b""] * RANGES  # of the range's services: see packing.py
+        self.loading: dict[str, list[bytes]] = {}
         self.open: dict[str, OpenService] = {}
         self.changed: set[tuple[str, int]] = set()
         self.in_use: dict[str, dict[str, InstanceValue]] = {}
@@ -131,8 +134,13 @@
         return sum(len(found) for service in self.services() for found in [self.read(service)])
 
     def services(self) -> Iterator[str]:
-        for services in self.pages:
-            yield from services
+        for piece in self.pieces:
+            yield from names(piece)
+
+    def _pages(self, service: str) -> tuple[bytes, ...]:
+        """The packed pages of a service; none where it has no instance."""
+        pages = value_of(self.pieces[_range(service)], service)
+        return () if pages is None else _decode_pages(pages)
 
     # ---- look-ups --------------------------------------------------------------------------------
 
@@ -144,7 +152,7 @@
     def read(self, service: str) -> dict[str, InstanceValue]:
         """The instances in force of a service, unpacked."""
         found: dict[str, InstanceValue] = {}
-        for page in self.pages[_range(service)].get(service, ()):
+        for page in self._pages(service):
             if page:
                 found.update(self._in_force(_read(zlib.decompress(page))))
         return found
@@ -185,20 +193,19 @@
         if record is not None and service in self.in_use:
             self._touch(service, instance, msgspec.msgpack.decode(record.value, type=InstanceValue))
 
-    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
-        for service in list(self.pages[number]):
+    def retain(self, region: Region, number: int, kept: Collection[str]) -> None:
+        for service in list(names(self.pieces[number])):
             opened = self._opened(service)
             for page in range(len(opened.packed)):
                 for instance, index in list(opened.page(page)):
                     name = f"{service}/{instance}"
-                    if index == region.index and name not in names:
+                    if index == region.index and name not in kept:
                         self.remove(region, name)
 
     def _opened(self, service: str) -> OpenService:
         opened = self.open.get(service)
         if opened is None:
-            pages = self.pages[_range(service)].get(service, ())
-            opened = self.open[service] = OpenService(pages)
+            opened = self.open[service] = OpenService(self._pages(service))
         return opened
 
     def _touch(self, service: str, instance: str, value: InstanceValue) -> None:
@@ -211,31 +218,31 @@
             self._pack(service, one)
 
     def _pack(self, service: str, opened: OpenService) -> None:
-        services = self.pages[_range(service)]
-        before = services.get(service, ())
         after, written = opened.end()
-        if after:
-            services[service] = after
-        else:
-            services.pop(service, None)
+        if not written:
+            return
+        before, number = self._pages(service), _range(service)
+        value = _encode(after) if after else None
+        self.pieces[number] = replaced(self.pieces[number], service, value)
         for number in written | set(range(len(after), len(before))):
             self.changed.add((service, number))
 
-    def changed_in_use(self, entry: Callable[[str, InstanceValue, bool], object]) -> dict[str, list]:
-        """What changed of the services in use since the last call: `entry(instance, value, gone)` of each."""
+    def changed_in_use(self, told_as: Callable[[str, InstanceValue, bool], object]) -> dict[str, list]:
+        """What changed of the services in use since the last call: `told_as(instance, value, gone)` of
+        each."""
         touched, self.touched = self.touched, {}
         told: dict[str, list] = {}
         for service, values in touched.items():
             now = self.in_use[service]
             self._refresh(service, now, values)
             told[service] = [
-                entry(name, now.get(name, last), name not in now) for name, last in values.items()
+                told_as(name, now.get(name, last), name not in now) for name, last in values.items()
             ]
         return told
 
     def _refresh(self, service: str, now: dict[str, InstanceValue], names: Collection[str]) -> None:
         """The named instances of a service in use, as its pages have them."""
-        pages = self.pages[_range(service)].get(service, ())
+        pages = self._pages(service)
         numbers = {page_number(name, len(pages)) for name in names} if pages else set()
         fresh: dict[str, InstanceValue] = {}
         for number in numbers:
@@ -252,17 +259,24 @@
     def dirty(self) -> Iterator[StoredPage]:
         changed, self.changed = self.changed, set()
         for service, number in sorted(changed):
-            pages = self.pages[_range(service)].get(service, ())
+            pages = self._pages(service)
             body = pages[number] if number < len(pages) else None
             yield StoredPage(PageKind.INSTANCE, service, number, body)
 
     def load(self, page: StoredPage) -> None:
         """Pages of a service come in the order of their numbers."""
-        services = self.pages[_range(page.name)]
-        pages = services.get(page.name, ())
+        pages = self.loading.setdefault(page.name, [])
         if page.number != len(pages):
             raise ValueError(f"page {page.number} of {page.name} follows on {len(pages)} pages")
-        services[page.name] = (*pages, page.body or b"")
+        pages.append(page.body or b"")
+
+    def loaded(self) -> None:
+        loading, self.loading = self.loading, {}
+        entries: dict[int, list[bytes]] = {}
+        for service, pages in loading.items():
+            entries.setdefault(_range(service), []).append(entry(service, _encode(pages)))
+        for number, found in entries.items():
+            self.pieces[number] = b"".join(found)
 
 
 def _range(service: str) -> int:
--- a/linenbridge/distribution/view/results.py
+++ b/linenbridge/distribution/view/results.py
@@ -21,7 +21,7 @@
     """Bounds of one view. `compiled_bytes` is what route sets unpacked for look-ups may take, estimated (the
     settings' `compiled-routes`); `examined` how many changes may be checked ahead of their turn."""
 
-    compiled_bytes: int = 6_000_000
+    compiled_bytes: int = 4_000_000
     examined: int = 256
 
 
--- a/linenbridge/distribution/view/routes.py
+++ b/linenbridge/distribution/view/routes.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from linenbridge.distribution.changes import RANGES, Change, Kind, digest_of, range_of
+from linenbridge.distribution.view.packing import entry, names, replaced, value_of
 from linenbridge.distribution.view.regions import Region, Regions
 from linenbridge.distribution.view.results import PageKind, StoredPage
 from linenbridge.distribution.view.rules import RULE_BYTES, PackedRuleList, PackedTable
@@ -43,13 +44,14 @@
     ) -> None:
         self.regions, self.methods, self.longest = regions, methods, longest
         self.compiled_bytes = compiled_bytes
-        self.pages: list[dict[str, bytes]] = [{} for _ in range(RANGES)]
+        self.pieces = [b""] * RANGES  # of the range's authorities: see packing.py
+        self.loading: dict[int, list[bytes]] = {}
         self.compiled: OrderedDict[str, PackedTable] = OrderedDict()
         self.cost = 0  # of all compiled ones
         self.changed: set[str] = set()
 
     def __len__(self) -> int:
-        return sum(map(len, self.pages))
+        return sum(1 for piece in self.pieces for _ in names(piece))
 
     # ---- look-ups --------------------------------------------------------------------------------
 
@@ -86,7 +88,7 @@
             self.cost -= table.cost
 
     def _records(self, authority: str) -> dict[int, RouteRecord]:
-        page = self.pages[range_of(Kind.ROUTES, authority)].get(authority)
+        page = value_of(self.pieces[range_of(Kind.ROUTES, authority)], authority)
         return {} if page is None else {record.region: record for record in _decode(page)}
 
     # ---- changes ---------------------------------------------------------------------------------
@@ -107,16 +109,14 @@
         if records.pop(region.index, None) is not None:
             self._keep(name, records)
 
-    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
-        for name in [name for name in self.pages[number] if name not in names]:
+    def retain(self, region: Region, number: int, kept: Collection[str]) -> None:
+        for name in [name for name in names(self.pieces[number]) if name not in kept]:
             self.remove(region, name)
 
     def _keep(self, authority: str, records: dict[int, RouteRecord]) -> None:
-        pages = self.pages[range_of(Kind.ROUTES, authority)]
-        if records:
-            pages[authority] = _encode(list(records.values()))
-        else:
-            del pages[authority]
+        number = range_of(Kind.ROUTES, authority)
+        page = _encode(list(records.values())) if records else None
+        self.pieces[number] = replaced(self.pieces[number], authority, page)
         self._drop(authority)
         self.changed.add(authority)
 
@@ -127,8 +127,14 @@
     def dirty(self) -> Iterator[StoredPage]:
         changed, self.changed = self.changed, set()
         for name in sorted(changed):
-            body = self.pages[range_of(Kind.ROUTES, name)].get(name)
+            body = value_of(self.pieces[range_of(Kind.ROUTES, name)], name)
             yield StoredPage(PageKind.ROUTES, name, 0, body)
 
     def load(self, page: StoredPage) -> None:
-        self.pages[range_of(Kind.ROUTES, page.name)][page.name] = page.body or b""
+        number = range_of(Kind.ROUTES, page.name)
+        self.loading.setdefault(number, []).append(entry(page.name, page.body or b""))
+
+    def loaded(self) -> None:
+        loading, self.loading = self.loading, {}
+        for number, entries in loading.items():
+            self.pieces[number] = b"".join(entries)
--- a/linenbridge/distribution/view/rules.py
+++ b/linenbridge/distribution/view/rules.py
@@ -21,6 +21,7 @@
 from linenbridge.routes.table import Request, Table, compiled
 
 QUESTION, NOT, ALL, ANY = range(4)
+LEVEL = 6  # of compression
 NOWHERE = Place(0, 0)  # Places are for errors; packed rules have none.
 # Bytes in memory, measured: of a table, of each of its rules while packed, and of each one compiled.
 TABLE_BYTES, ENTRY_BYTES, RULE_BYTES = 1_500, 260, 3_100
@@ -62,7 +63,35 @@
 def pack_rules(table: Table) -> bytes:
     """A checked table as bytes."""
     rules = [Raw(msgspec.msgpack.encode(_pack_rule(rule))) for rule in table.rules]
-    return zlib.compress(msgspec.msgpack.encode(PackedRules(path_index(table.rules), rules)))
+    content = msgspec.msgpack.encode(PackedRules(path_index(table.rules), rules))
+    packer = zlib.compressobj(LEVEL, zdict=DICTIONARY)
+    return packer.compress(content) + packer.flush()
+
+
+def _unpacked(packed: bytes) -> bytes:
+    unpacker = zlib.decompressobj(zdict=DICTIONARY)
+    return unpacker.decompress(packed) + unpacker.flush()
+
+
+def _words_of_rules() -> bytes:
+    """A packed rule with the words that most rules have: what a set repeats of it takes no room."""
+    header, query = ("header", "x-tenant"), ("query", "limit")
+    when = [
+        NOT, [ANY, [QUESTION, "attribute", "", "has", []], [QUESTION, "query", "", "contains", [""]]],
+        [QUESTION, "authority", "", "ends", [""]], [QUESTION, "header", "x-", "matches", [""]],
+        [ALL, [QUESTION, "path", "", "is", ["/"]], [QUESTION, "verb", "", "in", ["POST", "PUT"]]],
+        [ALL, [QUESTION, "path", "", "starts", ["/api/v1/"]], [QUESTION, "verb", "", "in", ["GET", "HEAD"]],
+         [QUESTION, "header", "x-", "is", [""]]],
+    ]  # fmt: skip
+    rule = PackedRule(
+        "route-1", when, "read", [PackedPart(header, 0, None), PackedPart(None, 0, "none")],
+        [PackedPart(None, 2, None), PackedPart(("header", "x-request-id"), 0, None)], 250_000,
+        PackedTime(2_000_000, ("header", "grpc-timeout"), "grpc"), PackedTime(3_000, query, "ms"), (),
+    )  # fmt: skip
+    return msgspec.msgpack.encode(rule)
+
+
+DICTIONARY = _words_of_rules()  # Part of the store's form: another one needs another `store.FORM`.
 
 
 def _pack_rule(rule: Rule) -> PackedRule:
@@ -186,7 +215,7 @@
         self, packed: bytes, methods: dict[str, Method], longest: int,
         grew: Callable[[PackedRuleList], None] | None = None,
     ) -> None:  # fmt: skip
-        content = zlib.decompress(packed)
+        content = _unpacked(packed)
         found = msgspec.msgpack.decode(content, type=PackedRules)
         self.methods, self.longest, self.paths = methods, longest, found.paths
         self.rules = PackedRuleList(found.rules, grew)
--- a/linenbridge/distribution/view/tables.py
+++ b/linenbridge/distribution/view/tables.py
@@ -27,7 +27,7 @@
 
     def remove(self, region: Region, name: str) -> None: ...
 
-    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
+    def retain(self, region: Region, number: int, kept: Collection[str]) -> None:
         """Of a range, keep the region's records of these names only."""
 
     def end(self) -> None:
@@ -38,6 +38,9 @@
 
     def load(self, page: StoredPage) -> None: ...
 
+    def loaded(self) -> None:
+        """All pages of the store have come."""
+
 
 def first_by_region(found: dict[int, Found], regions: list[Region]) -> Found | None:
     """The record in force among those of several regions, by region index."""
--- a/linenbridge/distribution/view/tenants.py
+++ b/linenbridge/distribution/view/tenants.py
@@ -84,15 +84,15 @@
         if at is not None:
             del self._opened(number)[at : at + ROW_BYTES]
 
-    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
-        page, hashes = self.pages[number], {hash_of(name) for name in names}
-        kept = bytearray()
+    def retain(self, region: Region, number: int, kept: Collection[str]) -> None:
+        page, hashes = self.pages[number], {hash_of(name) for name in kept}
+        left = bytearray()
         for at in range(0, len(page), ROW_BYTES):
             row = page[at : at + ROW_BYTES]
             if row[-1] != region.index or bytes(row[:HASH_BYTES]) in hashes:
-                kept += row
-        if len(kept) < len(page):
-            self._opened(number)[:] = kept
+                left += row
+        if len(left) < len(page):
+            self._opened(number)[:] = left
 
     def _opened(self, number: int) -> bytearray:
         page = self.pages[number]
@@ -120,6 +120,8 @@
             raise ValueError(f"{len(body)} bytes in a page of tenants, {ROW_BYTES} each")
         self.pages[page.number] = body
 
+    def loaded(self) -> None: ...
+
 
 def _place(page: Page, hashed: bytes) -> int:
     """Where the first row of that hash is, or would be."""
--- a/linenbridge/distribution/view/view.py
+++ b/linenbridge/distribution/view/view.py
@@ -293,6 +293,8 @@
                 self.refusals.load(page)
             else:
                 self.tables[page.kind].load(page)
+        for table in self.tables.values():
+            table.loaded()
         self.regions.load(regions)
 
     def services(self) -> Iterator[str]:
--- a/linenbridge/distribution/view/zones.py
+++ b/linenbridge/distribution/view/zones.py
@@ -55,9 +55,9 @@
             if not records:
                 del self.records[name]
 
-    def retain(self, region: Region, number: int, names: Collection[str]) -> None:
+    def retain(self, region: Region, number: int, kept: Collection[str]) -> None:
         for name in [name for name in self.records if range_of(Kind.ZONE, name) == number]:
-            if name not in names:
+            if name not in kept:
                 self.remove(region, name)
 
     def end(self) -> None: ...
@@ -71,3 +71,5 @@
     def load(self, page: StoredPage) -> None:
         records = msgspec.msgpack.decode(page.body or b"", type=list[ZoneRecord])
         self.records[page.name] = {record.region: record for record in records}
+
+    def loaded(self) -> None: ...
