--- a/linenbridge/distribution/hosting/publisher.py
+++ b/linenbridge/distribution/hosting/publisher.py
@@ -32,7 +32,7 @@
         self, settings: DistributionSettings, told: FleetTold, reactor: Any, log: Log, check: Check,
         random: Random,
     ) -> None:  # fmt: skip
-        self.settings, self.log = settings, log
+        self.settings, self.reactor, self.log = settings, reactor, log
         self.task = publishers_task(settings.region)
         relays = settings.home.relays
         self.publisher = Publisher(
