--- a/tests/scale/measure/routes.py
+++ b/tests/scale/measure/routes.py
@@ -10,7 +10,7 @@
 from linenbridge.routes.table import Request, Table, table
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: routes"
 MEASURED_BY = "tests.scale.measure.routes"
@@ -68,6 +68,8 @@
     lift_limits()
     common = dict(role=ROLE, size="routes", measured_by=MEASURED_BY, text=text_of(table_module))
     return [
+        slope("proportional", [(n, len(text(n))) for n in SIZES],
+              what="bytes of the text", unit="bytes", **common),
         slope("quadratic", [(n, make_time(n)) for n in SIZES],
               what="a table made, one change being a whole one", unit="us", **common),
         slope("linear", [(n, held_bytes(lambda n=n: unchecked(n))) for n in SIZES],
@@ -77,4 +79,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
