--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -12,8 +12,11 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 from operator import attrgetter
+from typing import Protocol
 from urllib.parse import parse_qsl
 
+from msgspec import Struct
+
 from linenbridge.interface import Method
 from linenbridge.routes.checks import check, choice, possible
 from linenbridge.routes.language import (
@@ -66,8 +69,7 @@
         return getattr(self, subject.kind)
 
 
-@dataclass(frozen=True, slots=True)
-class Asked:
+class Asked(Struct, frozen=True):
     """The RPC that a request is. Times are microseconds; `cost` is a hint at the work, None where unknown."""
 
     rule: str
@@ -88,6 +90,14 @@
     answers: tuple[tuple[str, str | None, bool], ...]
 
 
+class Routing(Protocol):
+    """What says which RPC a request is, and the methods that it may name."""
+
+    methods: Mapping[str, Method]
+
+    def find(self, request: Request) -> Asked | None: ...
+
+
 class Table:
     """All routes of one gateway, compiled."""
 
--- a/tests/distribution/hosting/test_hosts.py
+++ b/tests/distribution/hosting/test_hosts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -69,7 +70,7 @@
 def relay(tmp_path: Path) -> Relay:
     (tmp_path / "eu-1").mkdir()
     settings = settings_of(RELAY.replace("eu-1.db", "eu-1"), tmp_path)
-    found = Relay(settings, StandinReactor(), Log(io.BytesIO()), Random(1))
+    found = Relay(settings, StandinReactor(), Log(io.BytesIO()), Random(1), Mock())
     found.reactor.threads.run_all()
     yield found
     found.close(lambda: None)
@@ -91,7 +92,8 @@
     assert (appended.upto, appended.code) == (1, "")
 
 
-def test_a_relay_whose_disk_fails_answers_no_publisher_any_more(relay):
+def test_a_relay_whose_disk_fails_answers_no_publisher_any_more_and_says_once_that_it_is_broken(relay):
+    broken = relay._broken
     publisher = FarEnd(relay.downstream, "p1")
 
     def full(keeps: object) -> None:
@@ -102,7 +104,9 @@
     relay.reactor.threads.run_all()
     publisher.say(Prepare("eu", 4))
     relay.reactor.threads.run_all()
+    relay.reactor.advance(0)
     assert publisher.heard() == [] and relay.replica.broken
+    broken.assert_called_once_with()
     assert b"distribution.store_failed" in relay.log.stream.getvalue()
 
 
