--- /dev/null
+++ b/tests/scale/full_tables.py
@@ -0,0 +1,178 @@
+"""One real process with the tables of the whole installation: its memory, look-ups, changes and restart.
+
+`python -m tests.scale.full_tables` takes a hundredth, a tenth and all of the size and writes its rows to
+docs/capacity/slopes.json; `--small` takes a hundredth and writes nothing. Times are processor time of the
+process's own thread, as others share the machine; the time of a restart is by the clock.
+"""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+from linenbridge.distribution.changes import RANGES, Change, Version, range_of
+from linenbridge.distribution.decisions import Apply, ReplaceRange
+from tests.scale.slopes import Slope, merge, slope
+from tests.scale.tables.content import EPOCH, REGIONS, SEED, Content, Size
+from tests.scale.tables.process import FILL, Frame, write_frame
+
+SMALL, SHARES = 0.01, (0.01, 0.1, 1.0)
+CHANGES, SET_CHANGES, ZONE_CHANGES = 3_000, 100, 20
+RULES = 26  # of a set that is changed
+ROLE, MEASURED_BY = "gateway: view of all tables", "tests.scale.full_tables"
+MODULE = "tests.scale.tables.process"
+ROOT = Path(__file__).parents[2]
+MEGABYTE = 1e6
+CHANGED = {"tenant": "tenants", "instance": "instances", "routes": "services", "zone": "instances"}
+LOOKED_UP = {
+    "tenant": "tenants", "routes compiled": "services", "routes cold": "services",
+    "instance in use": "instances", "service cold": "services",
+}  # fmt: skip
+
+
+def ranges(content: Content) -> Iterator[ReplaceRange]:
+    """Everything, as a gateway without a store gets it from its relay: range by range of each region."""
+    held: dict[tuple[str, int], list[Change]] = defaultdict(list)
+    for change in (*content.tenants(), *content.all_instances(), *content.routes()):
+        held[change.region, range_of(change.kind, change.name)].append(change)
+    for region in REGIONS:
+        upto = Version(EPOCH, content.sequences[region])
+        for number in range(RANGES):
+            changes = held.pop((region, number), [])
+            yield ReplaceRange(region, upto, number, changes, final=number == RANGES - 1)
+
+
+def frames(content: Content) -> Iterator[Frame]:
+    """Everything once, then single changes of each kind."""
+    for found in ranges(content):
+        yield Frame(FILL, content=found)
+    makers: tuple[tuple[str, Callable[[], Change], int], ...] = (
+        ("tenant", content.another_tenant, CHANGES),
+        ("instance", content.another_instance, CHANGES),
+        ("routes", lambda: content.another_route_set(RULES), SET_CHANGES),
+        ("zone", content.zone_changed, ZONE_CHANGES),
+    )
+    for what, make, count in makers:
+        for _ in range(count):
+            change = make()
+            yield Frame(what, Apply(change.region, change.version, [change]))
+
+
+def fill(path: str, content: Content) -> dict:
+    """A process that takes the whole content from a stream."""
+    command = [sys.executable, "-m", MODULE, "fill", path]
+    with subprocess.Popen(command, cwd=ROOT, stdin=subprocess.PIPE, stdout=subprocess.PIPE) as process:
+        for frame in frames(content):
+            write_frame(process.stdin, frame)
+        process.stdin.close()
+        told = json.loads(process.stdout.read())
+    if told["digests"] != content.digests:
+        raise SystemExit("the filled view does not hold what was published")
+    return told
+
+
+def restart(path: str, share: float, digests: dict[str, int]) -> dict:
+    """A process that serves from the store, with the milliseconds from its exec to its first answer."""
+    began = time.monotonic_ns()
+    command = [sys.executable, "-m", MODULE, "restart", path, str(share)]
+    told = json.loads(subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, check=True).stdout)
+    if told["digests"] != digests:
+        raise SystemExit("the restarted view does not hold what was published")
+    told["first_answer_ms"] = (told["answered_at"] - began) / 1e6
+    return told
+
+
+def measured(share: float) -> dict:
+    """All figures at one share of the size."""
+    content = Content(Size().scaled(share), SEED)
+    with tempfile.TemporaryDirectory() as folder:
+        path = str(Path(folder) / "view.db")
+        filled = fill(path, content)
+        return {"size": content.size, "fill": filled, "restart": restart(path, share, content.digests)}
+
+
+# ---- lines and rows ----------------------------------------------------------------------------------
+
+
+def lines(found: dict) -> Iterator[str]:
+    """What was measured at one size, for a terminal."""
+    size, fill, again = found["size"], found["fill"], found["restart"]
+    yield (
+        f"{size.routes} routes in {size.services} sets, {size.tenants} tenants, {size.instances} instances: "
+        f"filled in {fill['fill_s']:.1f} s of processor time"
+    )
+    yield (
+        f"  memory in MB: interpreter and modules {_mb(fill['base'])}, filled {_mb(fill['filled'])}, "
+        f"after changes {_mb(fill['resident'])}, at most {_mb(fill['highest'])}"
+    )
+    yield (
+        f"  after a restart: first answer {again['first_answer_ms']:.0f} ms after exec; memory in MB: "
+        f"{_mb(again['restored'])}, after look-ups {_mb(again['after_lookups'])}, "
+        f"at most {_mb(again['highest'])}; pages {again['pages']}"
+    )
+    for title, told in (("change", fill["change"]), ("store", fill["store"]), ("look-up", again["lookup"])):
+        for what, spread in told.items():
+            yield f"  {title} {what}: p50 {spread['p50']:.1f} us, p99 {spread['p99']:.1f} us of {spread['n']}"
+
+
+def _mb(size: int) -> str:
+    return f"{size / MEGABYTE:.1f}"
+
+
+def rows(found: list[dict]) -> list[Slope]:
+    """The rows of docs/capacity/slopes.json."""
+
+    def row(form: str, what: str, unit: str, size: str, cost: Callable[[dict], float]) -> Slope:
+        points = [(getattr(one["size"], size), cost(one)) for one in found]
+        return slope(
+            form, points, role=ROLE, what=what, unit=unit, size=size, measured_by=MEASURED_BY,
+            text="interpreted", state="after",
+        )  # fmt: skip
+
+    made = [
+        row("linear", "memory of a process that was filled", "bytes", "tenants",
+            lambda one: one["fill"]["filled"]),
+        row("linear", "most memory of a process that was filled", "bytes", "tenants",
+            lambda one: one["fill"]["highest"]),
+        row("linear", "memory of a process after a restart", "bytes", "tenants",
+            lambda one: one["restart"]["after_lookups"]),
+        row("linear", "from exec to the first answer after a restart", "ms", "tenants",
+            lambda one: one["restart"]["first_answer_ms"]),
+        row("linear", "all changes, checked and stored", "s", "routes", lambda one: one["fill"]["fill_s"]),
+    ]  # fmt: skip
+    for table in ("tenants", "routes", "instances"):
+        made.append(row("linear", f"packed pages of the {table}", "bytes", table,
+                        lambda one, table=table: one["restart"]["pages"][table]))  # fmt: skip
+    for what, size in CHANGED.items():
+        for title, part in (("one change", "change"), ("one change stored", "store")):
+            made += spreads(row, f"{title}, {what}", size, "fill", part, what)
+    for what, size in LOOKED_UP.items():
+        made += spreads(row, f"look-up, {what}", size, "restart", "lookup", what)
+    return made
+
+
+def spreads(row: Callable[..., Slope], what: str, size: str, life: str, table: str, name: str) -> list[Slope]:
+    """The median and the 99th in a hundred of one cost, by where it stands in the figures."""
+    return [
+        row("constant", f"{what}, {part}", "us", size, lambda one, part=part: one[life][table][name][part])
+        for part in ("p50", "p99")
+    ]
+
+
+def main(small: bool) -> None:
+    found = []
+    for share in (SMALL,) if small else SHARES:
+        found.append(measured(share))
+        print("\n".join(lines(found[-1])), flush=True)
+    if not small:
+        merge(rows(found))
+
+
+if __name__ == "__main__":
+    main("--small" in sys.argv[1:])
--- /dev/null
+++ b/tests/scale/test_full_tables.py
@@ -0,0 +1,22 @@
+"""The tables at a hundredth of the size, in one real process: what is filled is there after a restart."""
+
+from __future__ import annotations
+
+from tests.scale.full_tables import SMALL, lines, measured, rows
+from tests.scale.tables.content import Size
+
+TABLES_MOST = 12_000_000  # bytes beside the interpreter at a hundredth, compiled sets and the allocator's own
+
+
+def test_a_hundredth_of_the_size_is_filled_served_and_restarted():
+    found = measured(SMALL)
+    fill, again = found["fill"], found["restart"]
+    assert fill["filled"] - fill["base"] < TABLES_MOST
+    assert again["restored"] - again["base"] < TABLES_MOST
+    assert set(again["lookup"]) == {
+        "tenant", "routes compiled", "routes cold", "instance in use", "service cold",
+    }  # fmt: skip
+    assert set(fill["change"]) == set(fill["store"]) == {"tenant", "instance", "routes", "zone"}
+    assert len(list(lines(found))) == 3 + 2 * 4 + 5
+    another = {**found, "size": Size().scaled(2 * SMALL)}
+    assert all(cost > 0 for row in rows([found, another]) for _, cost in row.points)
