Scale tests: a schedule begins once its author is linked; regions that a gateway lacks count as nothing

Cause: on a busy machine the author's process began later than the fault that it was to publish through, and a gateway that had nothing of a region was left out of the least sequence. Change: the author says that it has begun; the least sequence counts every region.

--- a/tests/scale/author.py
+++ b/tests/scale/author.py
@@ -32,6 +32,7 @@
 PATIENCE = 6.0  # seconds without an answer; then the next candidate is asked
 OUTSTANDING_MOST = 64  # changes of one region that are asked for and not yet accepted
 LOOK_EVERY = 0.05  # seconds between two looks at what is due
+BEGUN = b"begun\n"  # the first line on standard output
 AGAIN = frozenset((NotPublisher.code, PublisherBusy.code))
 
 
@@ -77,6 +78,13 @@
         self.open: dict[int, tuple[int, int, Scheduled]] = {}  # by request: first asked, asked, what
         self.quiet_until = 0
 
+    def asks_of_linked(self) -> bool:
+        """Whether there is a candidate to ask."""
+        linked = [name for name in self.candidates if name in self.author.links.to]
+        if linked and self.asks not in linked:
+            self.asks = linked[0]
+        return bool(linked)
+
     def look(self) -> None:
         """Ask for what is due."""
         at = now()
@@ -123,6 +131,16 @@
             for name, at in candidates.items():
                 self.links.dial(name, (at.host, at.port))
         self.schedule = deque(sorted(spec.schedule, key=lambda change: change.at))
+        self.began = 0
+        self.connect()
+
+    def connect(self) -> None:
+        """The schedule begins once there is a candidate of each region; whoever waits for it is told."""
+        if not all(region.asks_of_linked() for region in self.regions.values()):
+            self.reactor.callLater(LOOK_EVERY, self.connect)
+            return
+        sys.stdout.buffer.write(BEGUN)
+        sys.stdout.buffer.flush()
         self.began = now()
         self.look()
 
--- a/tests/scale/hollow.py
+++ b/tests/scale/hollow.py
@@ -193,8 +193,9 @@
         """How far the gateways are."""
         least, most = dict[str, int](), dict[str, int]()
         for gateway in self.gateways.values():
-            for position in gateway.view.positions():
-                region, sequence = position.region, position.sequence
+            held = {position.region: position.sequence for position in gateway.view.positions()}
+            for region in self.spec.relays:
+                sequence = held.get(region, 0)
                 least[region] = min(sequence, least.get(region, sequence))
                 most[region] = max(sequence, most.get(region, sequence))
         following = sum(gateway.follower.following for gateway in self.gateways.values())
--- a/tests/scale/installation.py
+++ b/tests/scale/installation.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from tests.fleet.procs.installation import ROOT, free_ports
-from tests.scale.author import AuthorSpec, Scheduled, Summary
+from tests.scale.author import BEGUN, AuthorSpec, Scheduled, Summary
 from tests.scale.hollow import Address, Answer, Command, HollowSpec, resident_bytes
 from tests.scale.records import Fault, Recorder, Usage, now
 from tests.scale.traffic import Request
@@ -271,7 +271,8 @@
     def begin_author(
         self, requests: list[Request], seconds: float, in_force: bool = False
     ) -> subprocess.Popen:
-        """An author in a process of its own; `end_author` gives what came of it."""
+        """An author in a process of its own, whose schedule begins now; `end_author` gives what came of
+        it."""
         self.authored += 1
         name = f"author{self.authored}"
         publishers = {
@@ -283,7 +284,10 @@
         path = self.folder / f"{name}.json"
         path.write_bytes(msgspec.json.encode(spec))
         words = ["-m", "tests.scale.author", str(path), str(self.folder / f"{name}.records")]
-        return self._run(name, words, stdout=subprocess.PIPE)
+        process = self._run(name, words, stdout=subprocess.PIPE)
+        if process.stdout.readline() != BEGUN:
+            raise RuntimeError(f"{name} ended before it began")
+        return process
 
     def end_author(self, process: subprocess.Popen) -> Summary:
         out, _ = process.communicate()
