--- a/tests/distribution/feed/test_simulation.py
+++ b/tests/distribution/feed/test_simulation.py
@@ -12,7 +12,7 @@
 import pytest
 
 from linenbridge.distribution import acceptance, pacing
-from linenbridge.distribution.changes import Kind
+from linenbridge.distribution.changes import Kind, range_of
 from linenbridge.distribution.feed import FeedSettings
 from linenbridge.distribution.messages import Batch, Whole
 from tests.distribution.feed import checker
@@ -177,6 +177,41 @@
     assert breaches_of_sums(world) == []
 
 
+def following(world: World) -> list[str]:
+    return [name for name in gateways(world) if world.followers[name].following]
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_the_followers_of_a_lost_relay_are_spread_within_the_bound_and_come_back(seed):
+    """A bound of one and a half times the fair share of 24 gateways over 4 relays."""
+    bound = 9
+    world = World(Shape(relays=4, gateways=24, feed=FeedSettings(followers_most=bound)), seed)
+    world.run(8)
+    assert following(world) == gateways(world)
+    world.kill("r0-relay2")
+    world.run(4)
+    assert following(world) == gateways(world)
+    for feed in world.feeds.values():
+        assert sum("gateway" in name for name in feed.sessions) <= bound
+    world.start_relay("r0-relay2")
+    world.run(90)
+    assert following(world) == gateways(world)
+    assert len(world.feeds["r0-relay2"].sessions) >= 4, "those whose first relay it is have gone back"
+
+
+def test_where_the_own_regions_relays_are_full_those_of_another_are_taken():
+    world = World(Shape(relays=2, gateways=10, feed=FeedSettings(followers_most=7)), 1)
+    world.run(8)
+    world.kill("r0-relay0")
+    world.run(20)
+    assert following(world) == gateways(world)
+    relays = {world.followers[f"r0-gateway{n}"].relay for n in range(10)}
+    assert relays >= {"r0-relay1", "r1-relay0"} or relays >= {"r0-relay1", "r1-relay1"}
+    publish_over(world, 2, 10)
+    world.run(10)
+    assert breaches(world) == []
+
+
 class Spoiler:
     """What one relay does to its messages, by chance: nothing of it may come into force."""
 
@@ -266,6 +301,48 @@
     assert sum(follower.counters.spoilt for follower in world.followers.values()) == len(named)
 
 
+@pytest.mark.parametrize("relay", ["r1-relay1", "r0-relay1"])
+def test_a_relay_whose_table_lacks_a_key_spreads_nothing(relay):
+    """Of its own region: its followers go elsewhere and name it. Of another one: it is a follower itself, and
+    mended."""
+    world = World(Shape(), 2)
+    world.run(2)
+    publish_over(world, 4, 40)
+    world.run(10)
+    wrong = world.feeds[relay].tables["r1"]
+    change = next(change for change in reversed(world.logs["r1"]) if wrong.newest(*change.key).value)
+    wrong._forget(range_of(*change.key), f"{change.kind}/{change.name}", wrong.newest(*change.key))
+    publish_over(world, 20, 30)
+    world.run(40)
+    found = checker.breaches_of_versions(world.record, published(world))
+    found += checker.breaches_at_end(world.record, published(world), gateways(world))
+    assert found == []
+    named = {
+        event.fields["relay"]
+        for _, core, event in world.events
+        if event.name == "distribution.digest_differs" and core != f"{relay}:r1"
+    }
+    own = relay.startswith("r1")
+    assert named == ({relay} if own else set())
+    if not own:
+        assert different_digests(world) == []
+
+
+def test_a_gateway_whose_state_is_wrong_is_mended():
+    world = World(Shape(), 2)
+    world.run(2)
+    publish_over(world, 4, 40)
+    world.run(10)
+    tables = world.tables["r0-gateway2"]
+    key = sorted(tables.rows["r1"])[3]
+    tables.drop("r1", key)
+    world.publish_some("r1", 1)
+    world.run(20)
+    assert tables.sums["r1"] == world.feeds["r0-relay0"].digest("r1")
+    follower = world.followers["r0-gateway2"]
+    assert 1 <= follower.counters.ranges <= 2, "what differs, not everything"
+
+
 # ---- the budget --------------------------------------------------------------------------------------------
 
 
