Tests listen below the system's ephemeral ports

Cause: a publisher of a scale test did not start, 'Address already in use': free_ports gave a port of the range that the system gives to outgoing connections, and one of those had taken it before the process listened. Change: free_ports tries 10,000 to 31,999 in a random order. Hollow gateways name the bound of their compiled routes.

--- a/tests/fleet/procs/installation.py
+++ b/tests/fleet/procs/installation.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import shutil
 import signal
@@ -15,16 +16,25 @@
 import sys
 import time
 from pathlib import Path
+from random import Random
 
 from tests.fleet.procs.standin_links import StandinLinks
 from tests.fleet.procs.standin_resource import StandinResource
 
 ROOT = Path(__file__).parents[3]
 LEASE, BEAT = 1.0, 0.2
+LISTENING = range(10_000, 32_000)  # the system's ephemeral ports begin at 32,768
 
 
 def free_ports(count: int) -> list[int]:
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    """Ports to listen on, free at this moment, below those that the system gives to outgoing connections: one
+    of those could be taken again before its process listens, or while it is down."""
+    sockets = list[socket.socket]()
+    for port in Random().sample(LISTENING, len(LISTENING)):
+        if len(sockets) == count:
+            break
+        with contextlib.suppress(OSError):
+            sockets.append(socket.create_server(("127.0.0.1", port)))
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
         one.close()
--- a/tests/scale/hollow.py
+++ b/tests/scale/hollow.py
@@ -40,6 +40,7 @@
 from tests.scale.records import Answered, Final, Recorder, Seen, Serving, Started, Usage, now
 
 METHODS = (Method("look", IDEMPOTENT, "all", 0, 1_000_000, 1.0),)
+COMPILED_ROUTES = 1 << 20  # bytes; hollow gateways compile what the few requests ask for
 LONGEST = 30_000_000  # microseconds of the longest deadline
 REQUESTS_EVERY = 0.2  # seconds between two requests of a process
 REQUEST_TAKES = 0.05  # seconds from a request's first look-up to its last
@@ -145,7 +146,8 @@
         store = str(Path(spec.folder) / f"{gateway}.db") if gateway in spec.stores else ""
         return DistributionSettings(
             role=Role.GATEWAY, name=gateway, region=spec.region, listen=None, store=store, trusted=False,
-            platform="", rate=spec.rate, rate_between_regions=0, gather=spec.gather, heartbeat=spec.heartbeat,
+            platform="", rate=spec.rate, rate_between_regions=0, compiled_routes=COMPILED_ROUTES,
+            gather=spec.gather, heartbeat=spec.heartbeat,
             silence=spec.silence, followers=1, authors=1, regions=regions,
         )  # fmt: skip
 
