--- a/tests/distribution/hosting/test_processes.py
+++ b/tests/distribution/hosting/test_processes.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import struct
 import time
@@ -268,6 +269,20 @@
     assert max(change.epoch for change in logs[0].changes) > 1
 
 
+def test_a_process_that_is_told_to_read_its_settings_anew_says_that_they_count_from_a_start(tmp_path):
+    found = Installation(tmp_path)
+    try:
+        found.start("eu-1")
+        found.up("eu-1")
+        os.kill(found.running["eu-1"].pid, signal.SIGHUP)
+        found.until(lambda: bool(found.events("eu-1", "distribution.not_reloaded")), "a word on the settings")
+        found.running["eu-1"].terminate()
+        found.running["eu-1"].join(10)
+        assert found.running["eu-1"].exitcode == 0 and found.events("eu-1", "stopped")
+    finally:
+        found.close()
+
+
 def test_another_regions_relays_and_gateways_have_it_too(tmp_path):
     found = Installation(tmp_path, gateways=1, others=("us-1", "us-2"))
     words = f'role="gateway" name="g-us" region="us" platform="{found.platform}"'
