--- a/tests/scale/test_page.py
+++ b/tests/scale/test_page.py
@@ -7,8 +7,9 @@
 import msgspec
 import pytest
 
-from tests.scale import slopes as slopes_file
+from tests.scale import families, slopes as slopes_file
 from tests.scale.fits import FORMS, fitted
+from tests.scale.installation import Scale
 from tests.scale.page import control, gateway, render
 from tests.scale.page.__main__ import PAGE, MissingPartError, filled, parts
 from tests.scale.page.families import Outcome, Outcomes
@@ -135,3 +136,9 @@
     assert outcomes.steady("max_ms") == Figure(1_900.0, Known.MEASURED)
     assert outcomes.faulty("max_ms", 2.0) == Figure(7_400.0, Known.MEASURED)
     assert render.families([small]).count("\n") == 3
+
+
+def test_the_page_reads_the_rows_that_a_family_leaves():
+    played = families.Outcome("steady", Scale(3_200, 24, 6), 1, changes=10, notes={"made good": 1.5})
+    read = msgspec.convert(played.row(), Outcome)
+    assert msgspec.structs.asdict(read) == played.row()
