View's store is read range by range: a restart holds nothing twice

At all of the size a restarted process took 83 MB while it read its store (78 right after), as pages were gathered before they were joined. They are ordered by range and go to the view as they are read; what does not add up in the end is let go.

--- a/linenbridge/distribution/view/instances.py
+++ b/linenbridge/distribution/view/instances.py
@@ -124,7 +124,7 @@
     def __init__(self, regions: Regions) -> None:
         self.regions = regions
         self.pieces = [b""] * RANGES  # of the range's services: see packing.py
-        self.loading: dict[str, list[bytes]] = {}
+        self.loading: tuple[str, list[bytes]] = ("", [])  # a service, and its pages while they come
         self.open: dict[str, OpenService] = {}
         self.changed: set[tuple[str, int]] = set()
         self.in_use: dict[str, dict[str, InstanceValue]] = {}
@@ -264,19 +264,20 @@
             yield StoredPage(PageKind.INSTANCE, service, number, body)
 
     def load(self, page: StoredPage) -> None:
-        """Pages of a service come in the order of their numbers."""
-        pages = self.loading.setdefault(page.name, [])
+        """Pages of a service come together, in the order of their numbers."""
+        if page.name != self.loading[0]:
+            self.loaded()
+            self.loading = (page.name, [])
+        pages = self.loading[1]
         if page.number != len(pages):
             raise ValueError(f"page {page.number} of {page.name} follows on {len(pages)} pages")
         pages.append(page.body or b"")
 
     def loaded(self) -> None:
-        loading, self.loading = self.loading, {}
-        entries: dict[int, list[bytes]] = {}
-        for service, pages in loading.items():
-            entries.setdefault(_range(service), []).append(entry(service, _encode(pages)))
-        for number, found in entries.items():
-            self.pieces[number] = b"".join(found)
+        service, pages = self.loading
+        if pages:
+            self.pieces[_range(service)] += entry(service, _encode(pages))
+        self.loading = ("", [])
 
 
 def _range(service: str) -> int:
--- a/linenbridge/distribution/view/routes.py
+++ b/linenbridge/distribution/view/routes.py
@@ -45,7 +45,7 @@
         self.regions, self.methods, self.longest = regions, methods, longest
         self.compiled_bytes = compiled_bytes
         self.pieces = [b""] * RANGES  # of the range's authorities: see packing.py
-        self.loading: dict[int, list[bytes]] = {}
+        self.loading: tuple[int, list[bytes]] = (0, [])  # a range, and its entries while they come
         self.compiled: OrderedDict[str, PackedTable] = OrderedDict()
         self.cost = 0  # of all compiled ones
         self.changed: set[str] = set()
@@ -131,10 +131,14 @@
             yield StoredPage(PageKind.ROUTES, name, 0, body)
 
     def load(self, page: StoredPage) -> None:
+        """Pages come range by range."""
         number = range_of(Kind.ROUTES, page.name)
-        self.loading.setdefault(number, []).append(entry(page.name, page.body or b""))
+        if number != self.loading[0]:
+            self.loaded()
+            self.loading = (number, [])
+        self.loading[1].append(entry(page.name, page.body or b""))
 
     def loaded(self) -> None:
-        loading, self.loading = self.loading, {}
-        for number, entries in loading.items():
-            self.pieces[number] = b"".join(entries)
+        number, entries = self.loading
+        self.pieces[number] += b"".join(entries)
+        self.loading = (number, [])
--- a/linenbridge/distribution/view/store.py
+++ b/linenbridge/distribution/view/store.py
@@ -18,8 +18,9 @@
 import msgspec
 from msgspec import Struct
 
+from linenbridge.distribution.changes import range_of
 from linenbridge.distribution.errors import ChangeRefused, ViewStoreError
-from linenbridge.distribution.view.results import StoredPage
+from linenbridge.distribution.view.results import PageKind, StoredPage
 from linenbridge.distribution.view.view import View
 
 FORM = 1  # of the tables and of all pages; a file with another is set aside
@@ -30,13 +31,15 @@
 COMPANIONS = ("-wal", "-shm")  # files that SQLite keeps beside its own
 TABLES = """
 create table if not exists page (
-  kind integer, name text, number integer, body blob, sum blob, primary key (kind, name, number));
+  kind integer, part integer, name text, number integer, body blob, sum blob,
+  primary key (kind, part, name, number));
 create table if not exists state (one integer primary key, words blob, sum blob);
 """
-SELECT = "select kind, name, number, body, sum from page order by kind, name, number"
-SELECT_SUM = "select sum from page where kind = ? and name = ? and number = ?"
-DELETE = "delete from page where kind = ? and name = ? and number = ?"
-INSERT = "insert or replace into page values (?, ?, ?, ?, ?)"
+KEY = "where kind = ? and part = ? and name = ? and number = ?"
+SELECT = "select kind, name, number, body, sum from page order by kind, part, name, number"
+SELECT_SUM = f"select sum from page {KEY}"
+DELETE = f"delete from page {KEY}"
+INSERT = "insert or replace into page values (?, ?, ?, ?, ?, ?)"
 
 # What says nothing against the file itself: no place for it, or somebody else has it.
 LOST = (
@@ -46,6 +49,13 @@
 UNFIT = (apsw.Error, msgspec.MsgspecError, ValueError, TypeError, LookupError, ChangeRefused)
 
 Say = Callable[..., None]
+Load = Callable[[Iterator[StoredPage]], None]
+
+
+def passed_over(pages: Iterator[StoredPage]) -> None:
+    """All pages read and checked, none kept."""
+    for _ in pages:
+        pass
 
 
 class State(Struct, array_like=True, frozen=True):
@@ -70,17 +80,20 @@
         self.state = State(0, 0, fingerprint)
         self.error: ViewStoreError | None = None
 
-    def open(self) -> list[StoredPage]:
-        """All pages of the last complete write; none where there is no file, or where it is set aside."""
+    def open(self, load: Load = passed_over) -> bool:
+        """All pages of the last complete write go to `load`, as they are read: range by range. False where
+        the file cannot be used; what has been loaded of it is to be let go then."""
         try:
-            return self._open()
+            self._open(load)
         except LOST as error:
             self._lose(error)
+            return False
         except (*UNFIT, _UnfitError) as error:
-            self.set_aside(error)
-        return []
+            self._set_aside(error)
+            return False
+        return True
 
-    def _open(self) -> list[StoredPage]:
+    def _open(self, load: Load) -> None:
         connection = self.connection = apsw.Connection(self.path)
         connection.set_busy_timeout(0)
         connection.pragma("locking_mode", "exclusive")
@@ -88,7 +101,7 @@
         form = connection.pragma("user_version")
         if form not in (0, FORM):
             raise _UnfitError(f"its form is {form}, this is {FORM}")
-        pages = self._read(connection) if form else []
+        load(self._read(connection) if form else iter(()))
         try:
             connection.pragma("journal_mode", "wal")
             connection.pragma("synchronous", "normal")
@@ -98,22 +111,22 @@
                 self._write_state(connection)
         except LOST as error:
             self._lose(error)  # What it holds is good; nothing more can be written.
-        return pages
 
-    def _read(self, connection: apsw.Connection) -> list[StoredPage]:
+    def _read(self, connection: apsw.Connection) -> Iterator[StoredPage]:
+        """Every page; whether they are all, and of one time, is known in the end."""
         self.state = _read_state(connection)
         if self.state.fingerprint != self.fingerprint:
             raise _UnfitError("its routes were checked against other methods")
-        pages, sums = [], 0
+        rows = sums = 0
         for *row, found in connection.execute(SELECT):
             page = StoredPage(*row)
             if found != _sum(page):
                 raise _UnfitError(f"row {page.kind}/{page.name}/{page.number} is not as it was written")
-            pages.append(page)
+            rows += 1
             sums += int.from_bytes(found, "big")
-        if (len(pages), sums & MASK) != (self.state.rows, self.state.sums):
-            raise _UnfitError(f"{len(pages)} rows of {self.state.rows}, or one of them from another time")
-        return pages
+            yield page
+        if (rows, sums & MASK) != (self.state.rows, self.state.sums):
+            raise _UnfitError(f"{rows} rows of {self.state.rows}, or one of them from another time")
 
     def write(self, pages: Sequence[StoredPage]) -> bool:
         """All of them or none; False where there is no store (any more). What fails once is left for this
@@ -132,7 +145,7 @@
     def _write(self, connection: apsw.Connection, pages: Sequence[StoredPage]) -> None:
         rows, sums = self.state.rows, self.state.sums
         for page in pages:
-            key = page.kind, page.name, page.number
+            key = page.kind, _part(page), page.name, page.number
             before = connection.execute(SELECT_SUM, key).fetchall()
             rows += (page.body is not None) - len(before)
             sums -= sum(int.from_bytes(found, "big") for (found,) in before)
@@ -149,7 +162,7 @@
         words = msgspec.msgpack.encode(self.state)
         connection.execute("insert or replace into state values (1, ?, ?)", (words, _sum_of(words)))
 
-    def set_aside(self, error: Exception) -> None:
+    def _set_aside(self, error: Exception) -> None:
         """The file cannot be used: it is kept under another name, in place of an earlier one, and a new one
         is begun."""
         self._close()
@@ -163,7 +176,7 @@
             return
         self.say("distribution.store_set_aside", path=self.path, error=f"{type(error).__name__}: {error}")
         try:
-            self._open()
+            self._open(passed_over)
         except (apsw.Error, OSError) as why:
             self._lose(why)
 
@@ -206,6 +219,11 @@
     return blake2b(words, digest_size=SUM_BYTES).digest()
 
 
+def _part(page: StoredPage) -> int:
+    """Pages that are kept together in memory are read together: those of one range."""
+    return range_of(page.kind, page.name) if page.kind in (PageKind.ROUTES, PageKind.INSTANCE) else 0
+
+
 def _sum(page: StoredPage) -> bytes:
     key = msgspec.msgpack.encode((page.kind, page.name, page.number))
     return _sum_of(key + (page.body or b""))
@@ -219,9 +237,4 @@
 def restored(store: ViewStore, new_view: Callable[[], View]) -> View:
     """The view of the last life, or a new one where the store holds none that can be used."""
     view = new_view()
-    try:
-        view.load(store.open())
-    except UNFIT as error:
-        store.set_aside(error)
-        view = new_view()
-    return view
+    return view if store.open(view.load) else new_view()
--- a/linenbridge/distribution/view/view.py
+++ b/linenbridge/distribution/view/view.py
@@ -284,7 +284,8 @@
         return found
 
     def load(self, pages: Iterable[StoredPage]) -> None:
-        """Stored pages into a new view; ValueError or a msgspec error where they do not fit together."""
+        """Stored pages into a new view, range by range; ValueError or a msgspec error where they do not fit
+        together. An iterator is read page by page, so that nothing is held twice."""
         regions = []
         for page in pages:
             if page.kind in (PageKind.REGION, PageKind.DIGESTS):
--- a/tests/distribution/view/test_serving.py
+++ b/tests/distribution/view/test_serving.py
@@ -194,7 +194,7 @@
             str(folder / "view.db"), fingerprint(m.name for m in methods), lambda *_, **__: None
         )
         view = View(methods, LONGEST)
-        store.open()
+        store.open(view.load)
         view.apply(batch(change(Kind.ROUTES, "desk", route_text(methods[0].name, "/spread"), 1)))
         store.write(view.dirty())
         store.close()
--- a/tests/distribution/view/test_store.py
+++ b/tests/distribution/view/test_store.py
@@ -172,7 +172,7 @@
     life.apply(content(100, 0.25))
     life.store.close()
     connection = apsw.Connection(kept)
-    connection.execute("insert or replace into page values (?, ?, ?, ?, ?)", old[0])
+    connection.execute("insert or replace into page values (?, ?, ?, ?, ?, ?)", old[0])
     connection.close()
     life = Life(kept)
     assert is_empty(life.view) and life.names() == ["distribution.store_set_aside"]
