--- a/tests/scale/full_tables.py
+++ b/tests/scale/full_tables.py
@@ -142,6 +142,8 @@
             lambda one: one["fill"]["highest"]),
         row("linear", "memory of a process after a restart", "bytes", "tenants",
             lambda one: one["restart"]["after_lookups"]),
+        row("linear", "most memory of a process after a restart", "bytes", "tenants",
+            lambda one: one["restart"]["highest"]),
         row("linear", "from exec to the first answer after a restart", "ms", "tenants",
             lambda one: one["restart"]["first_answer_ms"]),
         row("linear", "all changes, checked and stored", "s", "routes", lambda one: one["fill"]["fill_s"]),
