--- a/tests/distribution/view/test_view.py
+++ b/tests/distribution/view/test_view.py
@@ -119,7 +119,8 @@
 def test_what_is_not_behind_the_position_or_beyond_the_batch_is_passed_over():
     view = new_view()
     view.apply(batch(tenant(5, 0.5)))
-    assert view.apply(batch(tenant(4, 0.25))).taken == 0
+    older = view.apply(batch(tenant(4, 0.25)))
+    assert (older.taken, older.upto) == (0, Version(1, 5))
     applied = view.apply(Apply("eu", Version(1, 8), [tenant(4, 0.25), tenant(9, 0.75), tenant(7, 0.1, "t2")]))
     assert (applied.taken, applied.passed, applied.upto) == (1, 2, Version(1, 8))
     assert view.tenant("t1") == 0.5 and view.tenant("t2") == 0.1
@@ -177,6 +178,17 @@
     assert view.apply(Apply("eu", Version(1, 9), [])).digest is not None
 
 
+def test_a_range_read_later_than_its_transfer_is_complete_up_to_the_newest_it_names():
+    view = new_view()
+    number = range_number(Kind.TENANT, "t1")
+    applied = view.replace(range_of_changes("eu", [tenant(9, 0.9)], number, Version(1, 5), final=True))
+    assert applied.upto == Version(1, 5) and applied.digest is None
+    assert view.apply(batch(tenant(7, 0.7))).passed == 1 and view.tenant("t1") == 0.9
+    older = view.replace(range_of_changes("eu", [tenant(8, 0.8)], number, Version(1, 8), final=True))
+    assert (older.passed, older.upto, older.digest) == (1, Version(1, 8), None)
+    assert view.apply(batch(tenant(10, 0.1))).digest is not None and view.tenant("t1") == 0.1
+
+
 def test_a_range_with_a_refused_version_leaves_the_good_one_in_force():
     view = new_view()
     view.apply(batch(routes(1, route_text("look")), tenant(2, 0.2)))
