--- /dev/null
+++ b/tests/distribution/hosting/test_imports.py
@@ -0,0 +1,28 @@
+"""The distribution is loaded only where the settings ask for it, and each role loads its own part."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+from tests.fleet.procs.installation import ROOT
+
+DISTRIBUTION = "linenbridge.distribution"
+CASES = [
+    ("linenbridge.process.gateway", DISTRIBUTION),
+    ("linenbridge.processor.server", DISTRIBUTION),
+    ("linenbridge.cli.commands", DISTRIBUTION),
+    ("linenbridge.wirehost.adapter", DISTRIBUTION),
+    ("linenbridge.fleet.hosting.witness", DISTRIBUTION),
+    ("linenbridge.distribution.hosting.relay", f"{DISTRIBUTION}.view"),
+    ("linenbridge.distribution.hosting.gateway", f"{DISTRIBUTION}.replica"),
+]
+
+
+@pytest.mark.parametrize(("module", "absent"), CASES)
+def test_a_module_loads_no_part_that_is_not_its_own(module, absent):
+    words = f"import sys, {module}; print([name for name in sys.modules if name.startswith({absent!r})])"
+    run = subprocess.run([sys.executable, "-c", words], cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert run.stdout.strip() == "[]", run.stdout + run.stderr
