Distribution: an exception in a core or a callback is logged and stops nothing for good

The carrier pulls again a second later, where it had set no timer; the writer passed a callback's failure over in silence; a store's write that raises is logged and ends the store. Tests in memory; processes not run again.

--- a/linenbridge/distribution/hosting/carrier.py
+++ b/linenbridge/distribution/hosting/carrier.py
@@ -13,6 +13,9 @@
 from linenbridge.fleet.hosting import clock
 
 WAIT_LEAST = 0.001  # seconds: a core that is due again at once leaves room for what else the process does
+WAIT_AFTER_FAULT = (
+    1.0  # seconds after an exception, which the log has: one fault does not stop the part for good
+)
 
 
 class Core(Protocol):
@@ -44,6 +47,9 @@
         try:
             while self._pull_all():
                 pass
+        except Exception:
+            self._set_timer(WAIT_AFTER_FAULT)
+            raise
         finally:
             self._turning = False
         self.after()
@@ -63,12 +69,12 @@
         self.before(now)
         return core.next_decision(now)
 
-    def _set_timer(self) -> None:
+    def _set_timer(self, least: float = WAIT_LEAST) -> None:
         at = min((wake for core in self.cores if (wake := core.wake_at()) is not None), default=None)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if at is not None and not self._closed:
-            wait = max(WAIT_LEAST, (at - clock.now()) / 1e6)
+            wait = max(least, (at - clock.now()) / 1e6)
             self._timer = self.reactor.callLater(wait, self.turn)
 
     def close(self) -> None:
--- a/linenbridge/distribution/hosting/gateway.py
+++ b/linenbridge/distribution/hosting/gateway.py
@@ -15,6 +15,7 @@
 from linenbridge.distribution.changes import Change, Kind, Position
 from linenbridge.distribution.configuration import DistributionSettings
 from linenbridge.distribution.decisions import Apply, Decision, Dial, Event, HangUp, ReplaceRange, Send
+from linenbridge.distribution.errors import ViewStoreError
 from linenbridge.distribution.follower import Follower
 from linenbridge.distribution.hosting.carrier import Carrier, Core
 from linenbridge.distribution.hosting.following import follower_settings, hear, relay_names, relay_places
@@ -50,7 +51,7 @@
             settings.name, relay_names(settings), reactor, log, self._heard, decoder=FOLLOWER_TAKES,
             changed=self._link_changed,
         )  # fmt: skip
-        self.pages = None if store is None else StoredPages(reactor, view, store)
+        self.pages = None if store is None else StoredPages(reactor, log, view, store)
         self.queue: deque[Apply | ReplaceRange] = deque()
         self.unchecked: deque[Change] = deque()  # sets of routes of the queue's first
         self.closed = False
@@ -166,8 +167,8 @@
 class StoredPages:
     """Brings a view's changed pages to its store, every now and then and all of them together."""
 
-    def __init__(self, reactor: Any, view: View, store: ViewStore) -> None:
-        self.reactor, self.view, self.store = reactor, view, store
+    def __init__(self, reactor: Any, log: Log, view: View, store: ViewStore) -> None:
+        self.reactor, self.log, self.view, self.store = reactor, log, view, store
         self.writer = GroupWriter[list[StoredPage]](reactor, self._write, self._done, self._failed)
         self.timer: Any = None
 
@@ -189,7 +190,9 @@
         """The store says itself what went wrong."""
 
     def _failed(self, groups: list[list[StoredPage]], error: BaseException) -> None:
-        self.store.error = self.store.error or error
+        self.log.failed("distribution.store", error)
+        if self.store.error is None:
+            self.store.error = ViewStoreError(f"{type(error).__name__}: {error}", self.store.path)
 
     def close(self, closed: Callable[[], None]) -> None:
         if self.timer is not None:
--- a/linenbridge/distribution/hosting/writer.py
+++ b/linenbridge/distribution/hosting/writer.py
@@ -41,14 +41,16 @@
         self.writing = True
         result = deferToThreadPool(self.reactor, self.reactor.getThreadPool(), self.write, items)
         result.addCallbacks(lambda _: self.done(items), lambda failure: self.failed(items, failure.value))
-        result.addBoth(lambda _: self._next())
+        result.addBoth(self._next)
 
-    def _next(self) -> None:
+    def _next(self, result: object) -> object:
+        """Also after a callback that raised: its failure is passed on, to the process's log."""
         self.writing = False
         if self.waiting:
             self._begin()
         else:
             self._tell_idle()
+        return result
 
     def _tell_idle(self) -> None:
         if self._idle is not None and not self.writing and not self.waiting:
--- a/tests/distribution/hosting/test_carrier.py
+++ b/tests/distribution/hosting/test_carrier.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import gc
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import pytest
+from twisted.logger import globalLogPublisher
+from twisted.python.failure import Failure
 
 from linenbridge.distribution.decisions import Event
 from linenbridge.distribution.hosting.carrier import Carrier
@@ -66,17 +72,21 @@
     assert not reactor.getDelayedCalls()
 
 
-def test_a_core_that_fails_leaves_the_carrier_usable():
-    core = Script("a", "b")
+def test_a_core_that_fails_is_pulled_again_after_a_while():
+    reactor, core = StandinReactor(), Script("a", "b")
+    core.wake = clock.now()
 
     def carry_out(core: Script, now: int, event: Event) -> None:
         if event.name == "a":
             raise RuntimeError("planted")
 
-    carrier = Carrier(StandinReactor(), [core], carry_out)
+    carrier = Carrier(reactor, [core], carry_out)
     with pytest.raises(RuntimeError):
         carrier.turn()
-    carrier.turn()
+    assert core.out
+    reactor.advance(0.5)
+    assert core.out, "a fault that lasts costs a line a second"
+    reactor.advance(0.6)
     assert not core.out
 
 
@@ -119,6 +129,40 @@
     assert disk.failed == ["a"] and disk.done == ["b"]
 
 
+def test_a_callback_that_raises_stops_no_later_write():
+    disk = Disk()
+
+    def done(items: list[str]) -> None:
+        if items == ["a"]:
+            raise RuntimeError("planted")
+        disk.done.extend(items)
+
+    disk.writer.done = done
+    disk.writer.put("a")
+    disk.writer.put("b")
+    with caught_by_twisted() as failures:
+        disk.reactor.threads.run_all()
+        gc.collect()
+    assert disk.groups == [["a"], ["b"]] and disk.done == ["b"]
+    assert any("planted" in str(failure.value) for failure in failures)
+
+
+@contextmanager
+def caught_by_twisted() -> Iterator[list[Failure]]:
+    """What Twisted logs of failures that nobody took, as a process's log gets them."""
+    failures = list[Failure]()
+
+    def observe(event: dict) -> None:
+        if event.get("log_failure") is not None:
+            failures.append(event["log_failure"])
+
+    globalLogPublisher.addObserver(observe)
+    try:
+        yield failures
+    finally:
+        globalLogPublisher.removeObserver(observe)
+
+
 def test_the_end_comes_after_the_last_write():
     disk, ends = Disk(), []
     disk.writer.put("a")
--- a/tests/distribution/hosting/test_hosts.py
+++ b/tests/distribution/hosting/test_hosts.py
@@ -17,7 +17,7 @@
 from linenbridge.distribution.changes import START, Kind, Version, sealed
 from linenbridge.distribution.configuration import DistributionSettings, Region, distribution
 from linenbridge.distribution.decisions import Apply
-from linenbridge.distribution.errors import RelayStoreError
+from linenbridge.distribution.errors import RelayStoreError, ViewStoreError
 from linenbridge.distribution.hosting import publisher as hosting
 from linenbridge.distribution.hosting.author import ASK_AGAIN, Author
 from linenbridge.distribution.hosting.gateway import STORE_EVERY, Gateway, open_view
@@ -276,6 +276,19 @@
     assert found.log.stream.getvalue().count(b"distribution.store_lost") == 1
 
 
+def test_a_write_that_raises_is_logged_and_ends_the_store(tmp_path):
+    found = gateway(tmp_path)
+    found.pages.store.write = Mock(side_effect=RuntimeError("planted"))
+    for sequence in (1, 2):
+        found._enqueue(routes(sequence, GOOD))
+        found.reactor.advance(0)
+        found.reactor.advance(STORE_EVERY)
+        found.reactor.threads.run_all()
+    assert found.pages.store.write.call_count == 1
+    assert b"RuntimeError: planted" in found.log.stream.getvalue()
+    assert isinstance(found.pages.store.error, ViewStoreError)
+
+
 def test_many_gateways_share_a_process_and_no_thread(tmp_path):
     settings = settings_of(GATEWAY, tmp_path)
     reactor, log = StandinReactor(), Log(io.BytesIO())
