--- /dev/null
+++ b/tests/distribution/hosting/test_page.py
@@ -0,0 +1,58 @@
+"""The operators' page names every event, word of the settings and counter that there is."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from lxml import etree
+
+from linenbridge.configuration.read import schema_text
+from tests.fleet.procs.installation import ROOT
+
+PAGE = (ROOT / "docs" / "distribution-operators.md").read_text()
+CODE = ROOT / "linenbridge" / "distribution"
+SCHEMA = "{http://www.w3.org/2001/XMLSchema}"
+
+
+def events() -> set[str]:
+    """Names of lines as the code writes them: whole ones, and those that a core puts its prefix before."""
+    found = set[str]()
+    for path in CODE.rglob("*.py"):
+        text = path.read_text()
+        found |= set(re.findall(r'(?:event|rarely|Event|say)\(\s*"distribution\.([a-z_]+)"', text))
+        found |= set(re.findall(r'_event\(\s*"([a-z_]+)"', text))
+    return found
+
+
+def words() -> set[str]:
+    """Attributes of the element in the schema."""
+    for found in etree.fromstring(schema_text()).iter(f"{SCHEMA}complexType"):
+        if found.get("name") == "distribution":
+            return {row.get("name") for row in found.iter(f"{SCHEMA}attribute")}
+    return set()
+
+
+def counters() -> set[str]:
+    """Keys of what each role says of itself."""
+    found = set[str]()
+    for name in ("relay", "publisher", "gateway"):
+        text = Path(CODE / "hosting" / f"{name}.py").read_text()
+        facts = text[text.index("def facts(") :].split("    def ")[0]
+        found |= set(re.findall(r'"([a-z_]+)":', facts))
+    return found
+
+
+def test_there_is_something_to_name():
+    assert len(events()) >= 20 and len(words()) >= 12 and len(counters()) >= 25
+
+
+@pytest.mark.parametrize("name", sorted(events()))
+def test_an_event_is_named(name):
+    assert f"`distribution.{name}`" in PAGE or f"`.{name}`" in PAGE
+
+
+@pytest.mark.parametrize("name", sorted(words() | counters()))
+def test_a_word_or_counter_is_named(name):
+    assert f"`{name}`" in PAGE
