Process schedules watch the last holder for a second, however late it took the task up

Cause: the kills leave a majority of acceptors only in gaps, on a busy machine hardly any (a process took 13 s to start at a load of 22 on 8 cores), and a schedule ended 0.6 s after its last fault, however late the task was taken up in it.

Change: each schedule goes on for a second after the task is held. What is asserted is as before, over more acts.

--- a/tests/fleet/procs/test_leases.py
+++ b/tests/fleet/procs/test_leases.py
@@ -21,6 +21,7 @@
 # After all faults: acceptors that start anew stand aside for a lease and ask each other what they remember,
 # then one task is taken up.
 AFTER_ALL = 2 * LEASE * 1.02 + 6 * BEAT + 3.0
+WATCHED = 1.0  # seconds of acts by the last holder, after all faults
 
 FAMILIES = {
     "links": ("both", "deaf", "mute", "slow", "reset"),
@@ -91,10 +92,9 @@
                 found += [f"{acceptor} did not return" for acceptor in away]
         fleet.links.mend()
         await fleet.up()
-        began = time.monotonic()
         if not await fleet.held(AFTER_ALL):
             found.append(f"nobody took the task up within {AFTER_ALL:.1f} s of the last fault")
-        await asyncio.sleep(max(0.0, began + 0.6 - time.monotonic()))
+        await asyncio.sleep(WATCHED)
         acts = list(fleet.resource.acts)
         return len(acts), fleet.links.faults, found + breaches(acts, fleet.woken)
     finally:
