--- a/linenbridge/distribution/publisher.py
+++ b/linenbridge/distribution/publisher.py
@@ -229,11 +229,22 @@
         that is committed counts from then on, so it is counted again."""
         self._append_lives()
         while (sequence := self._kept_by_enough()) > self.log.committed:
-            found = self.log.version_at(sequence)
-            if found is None or found.epoch != self.epoch:
+            if not self._is_of_this_epoch(sequence):
                 return
             self.log.commit(sequence)
             self.authors.on_committed(sequence)
+        settled = min(self.log.settles_at(), self._committed_everywhere())
+        if settled > self.log.settled:
+            self.log.settle(settled)
+
+    def _committed_everywhere(self) -> int:
+        """What every relay surely has committed, on its disk."""
+        return min(peer.complete for peer in self.peers.values())
+
+    def _is_of_this_epoch(self, sequence: int) -> bool:
+        """An entry of an earlier epoch that a majority has may still be replaced by another publisher's."""
+        found = self.log.version_at(sequence)
+        return found is not None and found.epoch == self.epoch
 
     def _kept_by_enough(self) -> int:
         """The newest sequence that a majority of all relays has, of those whose life counts, or all have."""
--- a/linenbridge/process/parts.py
+++ b/linenbridge/process/parts.py
@@ -9,9 +9,11 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from random import Random
 from typing import Any, NamedTuple
 
 from linenbridge.choice import Choice
+from linenbridge.interface import Startup
 from linenbridge.net.clients import Clients
 from linenbridge.net.discovery import Discovery, Taker, host_port
 from linenbridge.net.follow import Follow
@@ -41,11 +43,12 @@
 
 
 def build(
-    at: ProcessConfiguration, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None
-) -> Parts:
+    at: ProcessConfiguration, log: Log, reactor: Any, more: Callable[[Loop], Taker] | None = None,
+    start: Startup | None = None,
+) -> Parts:  # fmt: skip
     """The parts of one gateway; the module has heard the list and the news before anyone can ask. `more` adds
-    another front to the same loop."""
-    settings, start = at.settings, startup(at.settings)
+    another front to the same loop; `start` is what the module is given, where not what the settings say."""
+    settings, start = at.settings, start or startup(at.settings)
     methods = {method.name: method for method in start.methods}
     connect_wait = micros(settings.permissions.connect_timeout)
     answer_wait = micros(settings.family_info.answer_wait)
@@ -57,7 +60,10 @@
     )
     # A list, or half-read commands, beyond this would not be held anyway.
     line_most = int(at.limits.memory_mb * (1 << 20)) // 16
-    follow = partial(Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log)
+    random = Random(int(at.seed, 16))
+    follow = partial(
+        Follow, reactor=reactor, connect_wait=connect_wait, most=line_most, log=log, random=random
+    )
     unix_offset = now() - time.time_ns() // 1000
     takers = (instances,) if more is None else (instances, more(loop))
     discovery = Discovery(
