The killed holder's bound is tested once all acceptors have recovered

Change: the test waits, and asserts, that every acceptor says that it grants before it kills the holder. The bound is as it was.

--- a/tests/fleet/procs/test_leases.py
+++ b/tests/fleet/procs/test_leases.py
@@ -126,6 +126,8 @@
                 fleet.start(member)
             await fleet.up()
             assert await fleet.held(AFTER_ALL + 3.0)
+            # The bound holds for one loss at a time: no acceptor may still be starting when the holder dies.
+            assert all([await fleet.returned(acceptor, AFTER_ALL) for acceptor in fleet.acceptors])
             await asyncio.sleep(0.5)
             since, holder = time.monotonic(), fleet.holder()
             fleet.kill(holder)
