--- a/tests/scale/page/gateway.py
+++ b/tests/scale/page/gateway.py
@@ -183,6 +183,14 @@
             ordinary=None if one is None else one * rate, budget=size.budget.core_share,
             **costs.versions("gateway: process", "one change told", count, rate * MICROSECOND),
         ),
+        Row(
+            role=INSTANCES, what="processor time of changes, in the pools of connections alone", unit="core",
+            mechanism="`net/instances.py`: a change looks at every pool, and full collections follow",
+            ordinary=costs.scaled(
+                "gateway: process", "one change in the pools of connections", count, rate * MICROSECOND
+            ),
+            budget=size.budget.core_share,
+        ),
         Row(
             role=INSTANCES, what="a lost zone worked off, told one by one", unit="s",
             mechanism="a line of the watch for each change",
--- a/tests/scale/test_measure.py
+++ b/tests/scale/test_measure.py
@@ -9,8 +9,8 @@
 
 from tests.net import loopback
 from tests.scale.measure import (
-    costs, discovery, gateway, instances, leases, module, peers, processor, relay, releases, routes, tenants,
-    view,
+    costs, discovery, gateway, instances, leases, module, peers, pools, processor, relay, releases, routes,
+    tenants, view,
 )  # fmt: skip
 
 MEASURES: dict[str, Callable[[], float]] = {
@@ -22,6 +22,7 @@
     "peers, one message": lambda: peers.message_time(8),
     "peers, memory": lambda: costs.held_bytes(lambda: peers.told(8)),
     "module, one RPC": lambda: module.rpc_time(4),
+    "pools, one change": lambda: pools.change_time(4),
     "routes, a table made": lambda: routes.make_time(4),
     "routes, a look-up": lambda: routes.find_time(26),
     "releases, one outcome": lambda: releases.outcome_time(4),
