Routes are examined rule by rule, with requests between

Rules are parsed one at a time behind their ends; a gateway lets requests in between. The same rules, places and errors as the whole text on 40 seeded texts, 10 spoilt ones of each. A change that is held already is not examined again.

--- a/linenbridge/distribution/view/values.py
+++ b/linenbridge/distribution/view/values.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Generator, Iterable
 from math import isfinite
 
 import msgspec
@@ -22,8 +22,8 @@
 from linenbridge.distribution.errors import ChangeRefused
 from linenbridge.distribution.view.rules import pack_rules
 from linenbridge.interface import DRAINING, GONE, READY, Method
-from linenbridge.routes.language import RouteError
-from linenbridge.routes.table import FaultsError, table
+from linenbridge.routes.language import RouteError, parse_by_rule
+from linenbridge.routes.table import FaultsError, checked_table
 
 WORD_MOST = 256  # characters of a zone's, cell's or host's name
 NUMBER_MOST = 1 << 53
@@ -49,6 +49,16 @@
 
     def read(self, kind: int, name: str, value: bytes) -> Value:
         """The value in its table's form, a set of routes packed; else ChangeRefused."""
+        steps = self.reading(kind, name, value)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+
+    def reading(self, kind: int, name: str, value: bytes) -> Generator[None, None, Value]:
+        """The same in steps: a set of routes takes some milliseconds, a step one rule, or the checks of all
+        against each other."""
         if not 0 < len(name) <= NAME_MOST:
             raise ChangeRefused(f"a name has 1 to {NAME_MOST} characters", name[:WORD_MOST])
         if len(value) > VALUE_MOST:
@@ -56,7 +66,7 @@
         try:
             match kind:
                 case Kind.ROUTES:
-                    return self._routes(value)
+                    return (yield from self._routes(value))
                 case Kind.TENANT:
                     return _tenant(value)
                 case Kind.INSTANCE:
@@ -67,9 +77,15 @@
             raise ChangeRefused(str(error), name) from None
         raise ChangeRefused(f"no kind of key is numbered {kind}", name)
 
-    def _routes(self, value: bytes) -> bytes:
+    def _routes(self, value: bytes) -> Generator[None, None, bytes]:
+        rules = []
         try:
-            return pack_rules(table(value.decode(), self.methods, self.longest))
+            for rule in parse_by_rule(value.decode()):
+                rules.append(rule)
+                yield
+            table = checked_table(rules, self.methods, self.longest)
+            yield
+            return pack_rules(table)
         except (FaultsError, RouteError) as error:
             raise ValueError(str(error)) from None
 
--- a/linenbridge/distribution/view/view.py
+++ b/linenbridge/distribution/view/view.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Generator, Iterable, Iterator
 from struct import pack
 
 from linenbridge.distribution.changes import (
@@ -143,17 +143,34 @@
     def examine(self, change: Change) -> None:
         """Check a change ahead of its turn. Checks are what costs time: a host that has many changes to apply
         together calls this for each, with requests between, and then `apply`."""
-        self.ahead[digest_of(change)] = self._read(change)
+        for _ in self.examining(change):
+            pass
+
+    def examining(self, change: Change) -> Iterator[None]:
+        """The same in steps, a millisecond or so each, between which requests may be served."""
+        wanted, region = digest_of(change), self.regions.by_name.get(change.region)
+        if region is not None and self._digest(region, change.kind, change.name) == wanted:
+            return  # It is held already.
+        examined = yield from self._reading(change)
+        self.ahead[wanted] = examined
         if len(self.ahead) > self.limits.examined:
             self.ahead.popitem(last=False)
 
     def _read(self, change: Change) -> Examined:
+        steps = self._reading(change)
+        while True:
+            try:
+                next(steps)
+            except StopIteration as end:
+                return end.value
+
+    def _reading(self, change: Change) -> Generator[None, None, Examined]:
         if not change.value:
             return None
         if not (0 <= change.epoch < EPOCH_MOST and 0 <= change.sequence < SEQUENCE_MOST):
             return ChangeRefused(f"epoch below {EPOCH_MOST}, sequence below {SEQUENCE_MOST}", change.name)
         try:
-            return self.checks.read(change.kind, change.name, change.value)
+            return (yield from self.checks.reading(change.kind, change.name, change.value))
         except ChangeRefused as error:
             return error
 
--- a/linenbridge/routes/language.py
+++ b/linenbridge/routes/language.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from functools import cache
@@ -16,6 +17,8 @@
 
 TEXT_MOST = 256 * 1024  # characters of one routes file
 RULES_MOST = 512
+# All up to the end of a rule: a `}` that stands neither in a string nor in a comment.
+RULE_END = re.compile(r'(?:"(?:[^"\\\n]|\\["\\])*"|#[^\n]*|[^"#}])*\}')
 UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000}
 
 
@@ -243,6 +246,36 @@
     return rules
 
 
+def parse_by_rule(text: str) -> Iterator[Rule]:
+    """What `parse` gives, one rule at a time: a caller may do other things between two."""
+    count = 0
+    try:
+        for piece in _pieces(text):
+            for rule in parse(piece):
+                count += 1
+                if count > RULES_MOST:
+                    raise RouteError(rule.place, f"more than {RULES_MOST} routes")
+                yield rule
+    except RouteError:
+        parse(text)  # It names the first place that is wrong in the whole text.
+        raise
+
+
+def _pieces(text: str) -> Iterator[str]:
+    """The text cut behind each rule's end, each piece at its own line and column."""
+    if len(text) > TEXT_MOST:
+        raise RouteError(Place(1, 1), f"the routes are longer than {TEXT_MOST} characters")
+    begin = line = column = 0
+    while begin < len(text):
+        found = RULE_END.match(text, begin)
+        end = len(text) if found is None else found.end()
+        piece = text[begin:end]
+        yield "\n" * line + " " * column + piece
+        line += piece.count("\n")
+        column = len(piece) - piece.rfind("\n") - 1 if "\n" in piece else column + len(piece)
+        begin = end
+
+
 def _unexpected(error: UnexpectedInput, text: str) -> tuple[Place, str]:
     if isinstance(error, UnexpectedEOF) or getattr(getattr(error, "token", None), "type", "") == "$END":
         lines = text.split("\n")
--- a/linenbridge/routes/table.py
+++ b/linenbridge/routes/table.py
@@ -157,8 +157,12 @@
 
 def table(text: str, methods: Iterable[Method], longest: int) -> Table:
     """The table that a text describes; raises one error with all that is wrong, a line each."""
+    return checked_table(parse(text), methods, longest)
+
+
+def checked_table(rules: list[Rule], methods: Iterable[Method], longest: int) -> Table:
+    """The table of these rules; raises one error with all that is wrong, a line each."""
     methods = list(methods)
-    rules = parse(text)
     if wrong := check(rules, [method.name for method in methods]):
         raise FaultsError(wrong)
     return Table(rules, methods, longest)
--- a/tests/distribution/view/test_routes.py
+++ b/tests/distribution/view/test_routes.py
@@ -14,7 +14,7 @@
 from linenbridge.distribution.view.rules import RULE_BYTES, PackedTable, pack_rules
 from linenbridge.routes import checks
 from linenbridge.routes.checks import check
-from linenbridge.routes.language import RULES_MOST, parse
+from linenbridge.routes.language import RULES_MOST, RouteError, parse, parse_by_rule
 from linenbridge.routes.table import FaultsError, Request, table
 from tests.distribution.view.helpers import LONGEST, METHODS, new_view
 from tests.distribution.view.model import batch, change, route_text
@@ -93,6 +93,36 @@
     assert found == [str(error) for error in check(parse(text), BY_NAME)]
 
 
+def outcome(read, text: str) -> object:
+    try:
+        return list(read(text))
+    except RouteError as error:
+        return str(error)
+
+
+SPOILT = ("}", '"', "#", "{", "x", "\n", 'route b { when path is "/}#" method "look" } # }', "")
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_rules_parsed_one_at_a_time_are_those_of_the_whole_text(seed):
+    """With their places; a text that is spoilt somewhere has the same error."""
+    seeded = random.Random(2000 + seed)
+    text = rules(seeded).replace("} route", "}route").replace("\nroute r3", " # not } \nroute r3")
+    assert outcome(parse_by_rule, text) == outcome(parse, text)
+    for _ in range(10):
+        at = seeded.randrange(len(text))
+        spoilt = text[:at] + seeded.choice(SPOILT) + text[at + seeded.randrange(3) :]
+        assert outcome(parse_by_rule, spoilt) == outcome(parse, spoilt), spoilt
+
+
+def test_a_change_is_examined_in_a_step_for_each_rule_and_not_at_all_where_it_is_held():
+    text = "\n".join(f'route r{n} {{ when path starts "/p{n}/" method "look" }}' for n in range(26))
+    view, one = new_view(), change(Kind.ROUTES, "shop", text.encode(), 1)
+    assert len(list(view.examining(one))) == 27 and len(view.ahead) == 1
+    view.apply(batch(one))
+    assert list(view.examining(one)) == [] and not view.ahead
+
+
 def test_only_rules_that_a_request_can_meet_are_read():
     text = "\n".join(f'route r{n} {{ when path starts "/p{n}/" method "look" }}' for n in range(50))
     packed = PackedTable(pack_rules(table(text, METHODS, LONGEST)), BY_NAME, LONGEST)
--- a/tests/distribution/view/test_view.py
+++ b/tests/distribution/view/test_view.py
@@ -249,7 +249,7 @@
     good, bad = routes(1, route_text("look")), routes(2, b"route", "pay")
     for one in (good, bad):
         view.examine(one)
-    monkeypatch.setattr(view.checks, "read", lambda *_: pytest.fail("checked again"))
+    monkeypatch.setattr(view.checks, "reading", lambda *_: pytest.fail("checked again"))
     applied = view.apply(batch(good, bad))
     assert applied.taken == 1 and len(applied.refused) == 1 and method_of(view) == "look"
     assert not view.ahead
