The host's checks stay a set a turn until its tests say otherwise

tests/distribution/hosting/test_hosts.py fixes one turn for each set of routes; with a turn for each rule it fails. View.examining stays, with its tests; the host goes on with View.examine.

--- a/linenbridge/distribution/hosting/gateway.py
+++ b/linenbridge/distribution/hosting/gateway.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -53,7 +53,6 @@
         self.pages = None if store is None else StoredPages(reactor, view, store)
         self.queue: deque[Apply | ReplaceRange] = deque()
         self.unchecked: deque[Change] = deque()  # sets of routes of the queue's first
-        self.steps: Iterator[None] = iter(())  # of the check of one of them
         self.closed = False
         self.carrier = Carrier(reactor, [self.follower], self._carry_out)
         log.event("distribution.started", role="gateway", name=settings.name, region=settings.region)
@@ -102,7 +101,8 @@
     def _step(self) -> None:
         if self.closed or not self.queue:
             return
-        if self._checks_more():
+        if self.unchecked:
+            self.view.examine(self.unchecked.popleft())
             self.reactor.callLater(0, self._step)
             return
         self._put_in_force(self.queue[0])
@@ -110,15 +110,6 @@
         if self.queue:
             self.reactor.callLater(0, self._begin_first)
 
-    def _checks_more(self) -> bool:
-        """One step of the checks; False once all are done."""
-        for _ in self.steps:
-            return True
-        if not self.unchecked:
-            return False
-        self.steps = self.view.examining(self.unchecked.popleft())
-        return True
-
     def _put_in_force(self, content: Apply | ReplaceRange) -> None:
         view = self.view
         applied = view.apply(content) if isinstance(content, Apply) else view.replace(content)
