--- a/linenbridge/distribution/view/instances.py
+++ b/linenbridge/distribution/view/instances.py
@@ -130,9 +130,6 @@
         self.in_use: dict[str, dict[str, InstanceValue]] = {}
         self.touched: dict[str, dict[str, InstanceValue]] = {}
 
-    def __len__(self) -> int:
-        return sum(len(found) for service in self.services() for found in [self.read(service)])
-
     def services(self) -> Iterator[str]:
         for piece in self.pieces:
             yield from names(piece)
--- a/linenbridge/distribution/view/routes.py
+++ b/linenbridge/distribution/view/routes.py
@@ -50,9 +50,6 @@
         self.cost = 0  # of all compiled ones
         self.changed: set[str] = set()
 
-    def __len__(self) -> int:
-        return sum(1 for piece in self.pieces for _ in names(piece))
-
     # ---- look-ups --------------------------------------------------------------------------------
 
     def find(self, authority: str) -> PackedTable | None:
