--- a/tests/scale/author.py
+++ b/tests/scale/author.py
@@ -1,7 +1,7 @@
 """An author of many changes: asks each region's publisher at the times of a schedule, and records what it
 is told.
 
-python -m tests.scale.author SPEC RECORDS
+    python -m tests.scale.author SPEC RECORDS
 
 Ends once every change is accepted or refused for good and, where the spec wants it, in force; exit code 1
 where the time is over before. A change that its publisher cannot take now is asked for again, of the next
