--- a/linenbridge/distribution/hosting/gateway.py
+++ b/linenbridge/distribution/hosting/gateway.py
@@ -1,6 +1,6 @@
 """A gateway on a reactor: a follower of relays, its view, and the view's store. No front, no thread.
 
-Owns the wiring, and the queue of what is to come into force: sets of routes are checked one at a time with
+Owns the wiring, and the queue of what is to come into force: sets of routes are checked in short steps with
 turns of the reactor between, then all of one batch comes into force in one turn, between two requests. Many
 can share a process, each under its own name. It must never decide: what the core says is carried out.
 """
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from random import Random
 from typing import Any
 
@@ -54,6 +54,7 @@
         self.pages = None if store is None else StoredPages(reactor, log, view, store)
         self.queue: deque[Apply | ReplaceRange] = deque()
         self.unchecked: deque[Change] = deque()  # sets of routes of the queue's first
+        self.steps: Iterator[None] = iter(())  # of the check of one of them
         self.closed = False
         self.carrier = Carrier(reactor, [self.follower], self._carry_out)
         log.event("distribution.started", role="gateway", name=settings.name, region=settings.region)
@@ -102,8 +103,7 @@
     def _step(self) -> None:
         if self.closed or not self.queue:
             return
-        if self.unchecked:
-            self.view.examine(self.unchecked.popleft())
+        if self._checks_more():
             self.reactor.callLater(0, self._step)
             return
         self._put_in_force(self.queue[0])
@@ -111,6 +111,15 @@
         if self.queue:
             self.reactor.callLater(0, self._begin_first)
 
+    def _checks_more(self) -> bool:
+        """One step of the checks, a millisecond or so; False once all are done."""
+        for _ in self.steps:
+            return True
+        if not self.unchecked:
+            return False
+        self.steps = self.view.examining(self.unchecked.popleft())
+        return True
+
     def _put_in_force(self, content: Apply | ReplaceRange) -> None:
         view = self.view
         applied = view.apply(content) if isinstance(content, Apply) else view.replace(content)
