--- a/linenbridge/distribution/hosting/relay.py
+++ b/linenbridge/distribution/hosting/relay.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -25,7 +26,7 @@
 from linenbridge.distribution.replica import Replica
 from linenbridge.distribution.store.log import RelayLog
 from linenbridge.fleet.hosting import clock
-from linenbridge.fleet.hosting.links import Links, WellFormedNames
+from linenbridge.fleet.hosting.links import Links, WellFormedNames, later
 from linenbridge.net.log import Log
 
 SPARE_CONNECTIONS = 64  # for relays of other regions and publishers, beside two for each follower
@@ -33,10 +34,15 @@
 
 
 class Relay:
-    """One relay of `settings.region`. RelayStoreError where its disk cannot be used."""
+    """One relay of `settings.region`. RelayStoreError where its disk cannot be used. A relay whose disk fails
+    later on gets nothing newer for its followers: `broken` is called once, for the process to end."""
 
-    def __init__(self, settings: DistributionSettings, reactor: Any, log: Log, random: Random) -> None:
+    def __init__(
+        self, settings: DistributionSettings, reactor: Any, log: Log, random: Random,
+        broken: Callable[[], None] = lambda: None,
+    ) -> None:  # fmt: skip
         self.settings, self.reactor, self.log = settings, reactor, log
+        self._broken: Callable[[], None] | None = broken
         now = clock.now()
         self.disk = RelayLog(settings.store, settings.region)
         self.replica = Replica(settings.region, settings.name, self.disk.read(), settings.trusted, random)
@@ -61,7 +67,8 @@
             settings.name, relay_names(settings), reactor, log, self._heard_upstream, decoder=FOLLOWER_TAKES,
             changed=self._upstream_changed,
         )  # fmt: skip
-        self.carrier = Carrier(reactor, [self.replica, *self.followers.values(), self.feed], self._carry_out)
+        cores = [self.replica, *self.followers.values(), self.feed]
+        self.carrier = Carrier(reactor, cores, self._carry_out, after=self._look_at_replica)
         if settings.listen is None:
             raise ValueError("a relay listens")
         self.port = reactor.listenTCP(settings.listen[1], self.downstream, interface=settings.listen[0])
@@ -151,6 +158,11 @@
             case Event():
                 self.log.event(decision.name, **decision.fields)
 
+    def _look_at_replica(self) -> None:
+        if self.replica.broken and self._broken is not None:
+            broken, self._broken = self._broken, None
+            later(self.reactor, broken)
+
     def _address(self, relay: str) -> tuple[str, int]:
         return self.settings.regions[self.region_of[relay]].relays[relay]
 
@@ -192,7 +204,7 @@
         """At SIGHUP: settings of the distribution count from the next start."""
         self.log.event("distribution.not_reloaded", path=path, do="restart the process to take them up")
 
-    def close(self, closed: Any) -> None:
+    def close(self, closed: Callable[[], None]) -> None:
         """In order: no connection, then no turn, then the disk; `closed()` at the end."""
         self.port.stopListening()
         self.carrier.close()
@@ -200,7 +212,7 @@
         self.upstream.close()
         self.writer.close(lambda: self._close_disk(closed))
 
-    def _close_disk(self, closed: Any) -> None:
+    def _close_disk(self, closed: Callable[[], None]) -> None:
         self.disk.close()
         closed()
 
--- a/linenbridge/distribution/hosting/server.py
+++ b/linenbridge/distribution/hosting/server.py
@@ -18,6 +18,8 @@
 from linenbridge.net.log import Log
 from linenbridge.process import lifetime
 
+BROKEN = 1  # exit code of a process that ended by itself: its log says why
+
 
 class Process(Protocol):
     """What all roles have in common."""
@@ -35,45 +37,57 @@
     methods = methods_of(settings)
     log = structured(sys.stderr.buffer, configuration.log_level)
     reactor = lifetime.begin(log)
-    process = _process(configuration, settings, methods, reactor, log)
+    code = 0
+
+    def broken() -> None:
+        nonlocal code
+        code = BROKEN
+        stop()
+
+    process = _process(configuration, settings, methods, reactor, log, broken)
+    ending = False
 
     def stop() -> None:
-        log.event("stopping")
-        process.close(reactor.stop)
+        nonlocal ending
+        if not ending:
+            ending = True
+            log.event("stopping")
+            process.close(reactor.stop)
 
     def counters() -> None:
         log.counters(**process.facts())
 
     def anew() -> None:
-        log.event(
-            "distribution.not_reloaded", path=configuration.path, do="restart: settings count from then"
-        )
+        process.reload(configuration.path)
 
     lifetime.run(reactor, log, stop, counters, anew)
-    return 0
+    return code
 
 
 def _process(
-    configuration: Configuration, settings: DistributionSettings, methods: Methods, reactor: Any, log: Log
-) -> Process:
+    configuration: Configuration, settings: DistributionSettings, methods: Methods, reactor: Any, log: Log,
+    broken: Callable[[], None],
+) -> Process:  # fmt: skip
     """A process imports what its role needs."""
     random = Random(secrets.randbits(64))
     match settings.role:
         case Role.RELAY:
-            return _relay(settings, reactor, log, random)
+            return _relay(settings, reactor, log, random, broken)
         case Role.PUBLISHER:
             return _publisher(configuration, settings, methods, reactor, log, random)
         case Role.GATEWAY:
             return _gateway(settings, methods, reactor, log, random)
 
 
-def _relay(settings: DistributionSettings, reactor: Any, log: Log, random: Random) -> Process:
+def _relay(
+    settings: DistributionSettings, reactor: Any, log: Log, random: Random, broken: Callable[[], None]
+) -> Process:
     """A relay whose disk cannot be used does not start: the others go on without it."""
     from linenbridge.distribution.errors import RelayStoreError
     from linenbridge.distribution.hosting.relay import Relay
 
     try:
-        return Relay(settings, reactor, log, random)
+        return Relay(settings, reactor, log, random, broken)
     except RelayStoreError as error:
         raise ConfigurationError(str(error)) from None
 
