Each error of the distribution has its line on the operators' page, and a code of its own

Cause: with the distribution's modules imported, tests/fleet/test_errors.py met its kinds of errors too: none had a line in the operators' pages, and one code, behind, stood for two refusals (13 and 1 failures in a run of all tests).

--- a/linenbridge/distribution/errors.py
+++ b/linenbridge/distribution/errors.py
@@ -32,7 +32,7 @@
 class RelayBehind(Refusal):
     """The relay has just started and has not caught up with the other regions."""
 
-    code = "behind"
+    code = "relay_behind"
     advice = "none: the follower goes to another relay; if it lasts, look at the links between the regions"
 
 
@@ -54,7 +54,7 @@
     """The process asked does not hold the region's lease."""
 
     code = "not_publisher"
-    advice = "ask another candidate; if none holds the lease for long, look at the quorum (`quorum.lost`)"
+    advice = "ask another candidate; if none holds the lease for long, look at the quorum (`council.lost`)"
 
 
 class PublisherBusy(Refusal):
--- a/tests/distribution/feed/test_feed.py
+++ b/tests/distribution/feed/test_feed.py
@@ -143,7 +143,7 @@
 def test_a_relay_that_has_just_started_sends_followers_that_are_ahead_elsewhere():
     relay = Relay()
     relay.follow("ahead", sequence=7)
-    assert relay.sent["ahead"][0].code == "behind"
+    assert relay.sent["ahead"][0].code == "relay_behind"
     relay.now += SETTINGS.starting + 1
     relay.follow("ahead", sequence=7)
     assert "ahead" in relay.feed.sessions, "after a while it is the best there is"
--- a/tests/fleet/test_errors.py
+++ b/tests/fleet/test_errors.py
@@ -1,4 +1,4 @@
-"""Each kind of error says what an operator can do, and has its line in the operators' page."""
+"""Each kind of error says what an operator can do, and has its line in the operators' page of its part."""
 
 from __future__ import annotations
 
@@ -8,13 +8,19 @@
 
 import pytest
 
+import linenbridge.distribution
 import linenbridge.fleet
 from linenbridge.fleet.errors import FleetError, Refusal, kinds
 from linenbridge.fleet.leases.errors import QuorumLost
 
-for module in pkgutil.walk_packages(linenbridge.fleet.__path__, "linenbridge.fleet."):
-    importlib.import_module(module.name)
-PAGE = (Path(__file__).parents[2] / "docs" / "oncall-fleet.md").read_text()
+DOCS = Path(__file__).parents[2] / "docs"
+PAGES = {
+    "linenbridge.fleet": (DOCS / "oncall-fleet.md").read_text(),
+    "linenbridge.distribution": (DOCS / "distribution-operators.md").read_text(),
+}
+for package in (linenbridge.fleet, linenbridge.distribution):
+    for module in pkgutil.walk_packages(package.__path__, f"{package.__name__}."):
+        importlib.import_module(module.name)
 BASES = {"Refusal", "LeaseError", "PlaceError"}
 
 
@@ -23,7 +29,8 @@
 )
 def test_every_kind_has_advice_and_a_line_on_the_page(kind):
     assert kind.advice and kind.advice in str(kind("it happened", "g1"))
-    row = next((line for line in PAGE.splitlines() if line.startswith(f"| `{kind.__name__}`")), "")
+    page = PAGES[".".join(kind.__module__.split(".")[:2])]
+    row = next((line for line in page.splitlines() if line.startswith(f"| `{kind.__name__}`")), "")
     assert row and kind.advice in row, "the operators' page does not say it"
 
 
