--- a/linenbridge/cli/commands.py
+++ b/linenbridge/cli/commands.py
@@ -109,6 +109,36 @@
     _run(settings_file, config, resp=False)
 
 
+@app.command()
+def publish(
+    settings_file: SettingsFile,
+    kind: Annotated[str, typer.Option(help="routes, tenant, instance or zone.")],
+    name: Annotated[str, typer.Option(help="The key: a service, tenant, service/instance, or zone.")],
+    value: Annotated[
+        Path | None,
+        typer.Option(help="A file: routes as text, all else as a JSON object."),
+    ] = None,
+    delete: Annotated[bool, typer.Option("--delete", help="Delete the key.")] = False,
+    region: Annotated[str, typer.Option(help="Which owns the key; without it, the settings' own.")] = "",
+    accepted_within: Annotated[float, typer.Option(help="Seconds to wait until it is accepted.")] = 30.0,
+    in_force_within: Annotated[float, typer.Option(help="Seconds more until it is in force.")] = 10.0,
+    as_json: AsJson = False,
+) -> None:
+    """Publish one change: prints when it is accepted and when it is in force, and who is not reached.
+
+    Exit codes: 0 in force everywhere, 1 accepted but not known to be in force everywhere, 2 refused or not
+    published, 3 unknown: it may be accepted later.
+    """
+    from linenbridge.cli.publish import Wanted, publish as ask
+
+    wanted = Wanted(kind, name, value, delete, region, accepted_within, in_force_within)
+    try:
+        code = ask(read(str(settings_file)), wanted, as_json)
+    except (ConfigurationError, ValueError, OSError) as error:
+        raise _refuse(error) from None
+    raise typer.Exit(code)
+
+
 @app.command()
 def sim() -> None:
     """The decision module on the bench's wire, on standard input and output."""
@@ -160,7 +190,7 @@
     request = Request(authority, path, verb, "http", headers, attributes)
     asked, steps = table.find(request), table.explain(request)
     if as_json:
-        found = None if asked is None else {name: getattr(asked, name) for name in asked.__slots__}
+        found = None if asked is None else {name: getattr(asked, name) for name in asked.__struct_fields__}
         rows = [{"route": s.rule, "took": s.took, "answers": [list(a) for a in s.answers]} for s in steps]
         print(json.dumps({"rpc": found, "routes": rows}))
     else:
@@ -191,9 +221,13 @@
         typer.Option("--config", "-c", help="Check the routes' methods against it.", envvar="LB_CONFIG"),
     ] = None,
 ) -> None:
-    """Check the file by its schema, and its routes where a configuration is given."""
+    """Check the file by its schema and its parts, and its routes where a configuration is given."""
+    from linenbridge.distribution.configuration import distribution
+
     try:
-        told = processor_settings(read(str(settings_file)))
+        configuration = read(str(settings_file))
+        told = processor_settings(configuration)
+        distribution(configuration)
     except ConfigurationError as error:
         raise _refuse(error) from None
     if config is not None and told is not None:
@@ -219,7 +253,7 @@
 
 def shown(configuration: Configuration) -> dict[str, object]:
     """The settings in force, by dotted names; times in microseconds."""
-    rows: dict[str, object] = {"log.level": configuration.log_level}
+    rows: dict[str, object] = {"log.level": configuration.log_level, **_distribution_rows(configuration)}
     if (told := processor_settings(configuration)) is None:
         return rows
     rows |= {
@@ -239,6 +273,22 @@
     return rows
 
 
+def _distribution_rows(configuration: Configuration) -> dict[str, object]:
+    """The element `distribution`, where there is one: rates in bytes a second."""
+    from linenbridge.distribution.configuration import distribution
+
+    told = distribution(configuration)
+    if told is None:
+        return {}
+    rows: dict[str, object] = {
+        f"distribution.{name}": getattr(told, name) for name in told.__slots__ if name != "regions"
+    }
+    for name, region in told.regions.items():
+        rows[f"distribution.region.{name}.relays"] = " ".join(region.relays)
+        rows[f"distribution.region.{name}.publishers"] = " ".join(region.publishers)
+    return rows
+
+
 @settings.command("schema")
 def settings_schema() -> None:
     """Print the schema (XSD), for editors and other checkers."""
--- a/linenbridge/distribution/view/rules.py
+++ b/linenbridge/distribution/view/rules.py
@@ -1,7 +1,7 @@
 """Checked rules of one service, packed as data, and the routing table read from them without parsing again.
 
-Decides without I/O. A packed set holds which rules a path's first segment can meet, and each rule by itself,
-so that a look-up in a set that is not unpacked yet reads a few of its rules only. It must never differ from
+Decides without I/O. A packed set holds which rules a path can meet, and each rule alone, so that a look-up
+in a set that is not unpacked yet reads a few of its rules only. It must never differ from
 `routes.table.Table` for the same text: it finds and explains by the same code.
 """
 
@@ -14,6 +14,7 @@
 import msgspec
 from msgspec import Raw, Struct
 
+from linenbridge.distribution.view.paths import PathIndex, path_index
 from linenbridge.interface import Method
 from linenbridge.routes import language
 from linenbridge.routes.language import Condition, Not, Part, Place, Question, Rule, Subject, Timed
@@ -21,7 +22,8 @@
 
 QUESTION, NOT, ALL, ANY = range(4)
 NOWHERE = Place(0, 0)  # Places are for errors; packed rules have none.
-RULE_BYTES = 2_500  # of one compiled rule, measured: see docs/distribution.md
+# Bytes in memory, measured: of a table, of each of its rules while packed, and of each one compiled.
+TABLE_BYTES, ENTRY_BYTES, RULE_BYTES = 1_500, 260, 3_100
 
 
 class PackedTime(Struct, array_like=True, frozen=True):
@@ -51,17 +53,16 @@
 
 
 class PackedRules(Struct, array_like=True, frozen=True):
-    """All rules of a set. `everywhere` and `under` are the table's index by first segment."""
+    """All rules of a set, and which of them a path can meet."""
 
-    everywhere: list[int]
-    under: dict[str, list[int]]
+    paths: PathIndex
     rules: list[Raw]
 
 
 def pack_rules(table: Table) -> bytes:
     """A checked table as bytes."""
     rules = [Raw(msgspec.msgpack.encode(_pack_rule(rule))) for rule in table.rules]
-    return zlib.compress(msgspec.msgpack.encode(PackedRules(table.everywhere, table.under, rules)))
+    return zlib.compress(msgspec.msgpack.encode(PackedRules(path_index(table.rules), rules)))
 
 
 def _pack_rule(rule: Rule) -> PackedRule:
@@ -132,9 +133,11 @@
 class _WhenAsked(Sequence):
     """A list whose items are made when first asked for."""
 
-    def __init__(self, length: int, make: Callable[[int], Any]) -> None:
+    def __init__(self, length: int) -> None:
         self.items: list[Any] = [None] * length
-        self.make = make
+
+    def make(self, number: int) -> Any:
+        raise NotImplementedError
 
     def __len__(self) -> int:
         return len(self.items)
@@ -149,28 +152,51 @@
         return (self[number] for number in range(len(self.items)))
 
 
+class PackedRuleList(_WhenAsked):
+    """The rules of a set. `grew` is told with each one read; `cost` is what they take in memory by then."""
+
+    def __init__(self, packed: list[Raw], grew: Callable[[PackedRuleList], None] | None) -> None:
+        super().__init__(len(packed))
+        self.packed, self.grew = packed, grew
+        self.cost = ENTRY_BYTES * len(packed)
+
+    def make(self, number: int) -> Rule:
+        self.cost += RULE_BYTES
+        if self.grew is not None:
+            self.grew(self)
+        return _read_rule(self.packed[number])
+
+
+class _Conditions(_WhenAsked):
+    """The rules' conditions, compiled."""
+
+    def __init__(self, rules: PackedRuleList) -> None:
+        super().__init__(len(rules))
+        self.rules = rules
+
+    def make(self, number: int) -> Callable[[Request], bool]:
+        return compiled(self.rules[number].when)
+
+
 class PackedTable(Table):
-    """The routing table of one service, read from a packed set rule by rule as requests need them. `grew` is
-    told with each rule read; `cost` is what the table takes in memory by then, estimated in bytes."""
+    """The routing table of one service, read from a packed set rule by rule as requests need them. Nothing in
+    it refers back to it: once it is let go, its memory is free at once."""
 
     def __init__(
         self, packed: bytes, methods: dict[str, Method], longest: int,
-        grew: Callable[[PackedTable], None] | None = None,
+        grew: Callable[[PackedRuleList], None] | None = None,
     ) -> None:  # fmt: skip
         content = zlib.decompress(packed)
         found = msgspec.msgpack.decode(content, type=PackedRules)
-        self.methods, self.longest = methods, longest
-        self.everywhere, self.under = found.everywhere, found.under
-        self.packed_rules, self.grew = found.rules, grew
-        self.rules = _WhenAsked(len(found.rules), self._rule)
-        self.conditions = _WhenAsked(len(found.rules), self._condition)
-        self.cost = len(content)
-
-    def _rule(self, number: int) -> Rule:
-        self.cost += RULE_BYTES
-        if self.grew is not None:
-            self.grew(self)
-        return _read_rule(self.packed_rules[number])
-
-    def _condition(self, number: int) -> Callable[[Request], bool]:
-        return compiled(self.rules[number].when)
+        self.methods, self.longest, self.paths = methods, longest, found.paths
+        self.rules = PackedRuleList(found.rules, grew)
+        self.conditions = _Conditions(self.rules)
+        self.fixed_cost = TABLE_BYTES + len(content)
+
+    @property
+    def cost(self) -> int:
+        """Bytes in memory, estimated."""
+        return self.fixed_cost + self.rules.cost
+
+    def _candidates(self, request: Request) -> Sequence[int]:
+        return self.paths.candidates(request.segments)
--- a/tests/scale/measure/instances.py
+++ b/tests/scale/measure/instances.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from linenbridge.interface import DRAINING, READY, ListEntry
+from linenbridge.interface import DRAINING, GONE, READY, ListEntry
 from linenbridge.state import fleet as fleet_module
 from linenbridge.state.fleet import Fleet
 
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: instance view"
 MEASURED_BY = "tests.scale.measure.instances"
 SIZES = (20, 200, 2_000, 20_000, 200_000)
 ZONES = 19
+LONG_AGO = -1_000_000_000_000  # microseconds; none of them is cold
 GAP, LIMIT = 400_000.0, 3.0  # as the module passes them in
 
 
@@ -21,7 +22,7 @@
     return [
         ListEntry(
             f"i-{number:06d}", 2 if number % 10 == 0 else 1, f"zone-{number % ZONES}", number % 400, READY,
-            1.0, -1_000_000 - number,
+            1.0, LONG_AGO - number,
         )
         for number in range(count)
     ]  # fmt: skip
@@ -49,6 +50,20 @@
     return processor_time(change_and_back, calls, 3) / 2
 
 
+def zone_time(count: int) -> float:
+    """Microseconds to take in that all instances of a zone are gone, in one list."""
+    entries = listed(count)
+    fleet = view(entries)
+    zone = [entry for entry in entries if entry.zone == "zone-0"]
+    states = [[entry._replace(state=GONE) for entry in zone], zone]
+
+    def gone_and_back() -> None:
+        for changes in states:
+            fleet.update(changes, False, GAP, LIMIT, set())
+
+    return processor_time(gone_and_back, max(1, 2_000 // count), 3) / 2
+
+
 def whole_time(count: int) -> float:
     """Microseconds to take in a whole list that says nothing new."""
     entries = listed(count)
@@ -66,7 +81,8 @@
     text = text_of(fleet_module)
     common = dict(role=ROLE, size="instances", measured_by=MEASURED_BY, text=text)
     return [
-        slope("n log n", [(n, change_time(n)) for n in SIZES], what="one change", unit="us", **common),
+        slope("linear", [(n, change_time(n)) for n in SIZES], what="one change", unit="us", **common),
+        slope("n log n", [(n, zone_time(n)) for n in SIZES], what="a zone gone at once", unit="us", **common),
         slope("n log n", [(n, whole_time(n)) for n in SIZES], what="a whole list", unit="us", **common),
         slope("linear", [(n, view_bytes(n)) for n in SIZES],
               what="memory of the view", unit="bytes", **common),
@@ -78,4 +94,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
--- a/tests/scale/measure/module.py
+++ b/tests/scale/measure/module.py
@@ -10,7 +10,7 @@
 from tests.helpers import pull, startup
 from tests.scale.measure.costs import held_bytes, processor_time, text_of
 from tests.scale.measure.instances import listed
-from tests.scale.slopes import Slope, merge, slope
+from tests.scale.slopes import Slope, record, slope
 
 ROLE = "gateway: module"
 MEASURED_BY = "tests.scale.measure.module"
@@ -56,9 +56,10 @@
 def rpc_time(instances: int) -> float:
     """Microseconds of processor time for one RPC from request to answer, sweeps included."""
     traffic = Traffic(gateway(instances))
-    for _ in range(1_000):
+    calls, repeats = (2_000, 5) if instances < 2_000 else (400, 3)
+    for _ in range(calls):
         traffic.one()
-    return processor_time(traffic.one, 2_000 if instances < 2_000 else 500)
+    return processor_time(traffic.one, calls, repeats)
 
 
 def rows() -> list[Slope]:
@@ -72,4 +73,4 @@
 
 
 if __name__ == "__main__":
-    merge(rows())
+    record(rows())
