--- a/linenbridge/net/reactor.py
+++ b/linenbridge/net/reactor.py
@@ -1,12 +1,14 @@
 """Twisted's epoll reactor with less overhead per event.
 
 Sockets that are ready to be read are read without a logging context for each event, and the decision loop's
-turn runs right after each poll, without a timer in between. All other events are left to Twisted.
+turn runs right after each poll, without a timer in between. Timers run by the monotonic clock, where Twisted's
+run by the wall clock. All other events are left to Twisted.
 """
 
 from __future__ import annotations
 
 import select
+import time
 from typing import Any
 
 from twisted.internet.epollreactor import EPollReactor
@@ -20,6 +22,8 @@
 
     loop: DecisionLoop | None = None
 
+    seconds = staticmethod(time.monotonic)
+
     def serve(self, loop: DecisionLoop) -> None:
         """Run the turns of `loop` after each poll."""
         self.loop, loop.runs_after_poll = loop, True
