--- a/linenbridge/net/discovery.py
+++ b/linenbridge/net/discovery.py
@@ -1,7 +1,7 @@
 """Discovery: watches the endpoint list for the lifetime of the process.
 
 This module owns the watch and the version of the list last received. It converts entries to those of the
-decision module, including Unix times to the gateway's clock. It does not judge instances, and never applies a
+decision module. It does not judge instances, and never applies a
 list or an update in part: a message that can't be parsed completely ends its stream, and the next stream
 requests the changes since the version last applied.
 """
@@ -18,8 +18,8 @@
 from linenbridge.net import http
 from linenbridge.net.decision_loop import DecisionLoop
 from linenbridge.net.resp import MalformedError
+from linenbridge.net.start_times import StartTimes
 from linenbridge.net.watch_stream import WatchSettings, WatchStream
-from linenbridge.startup import LONG_AGO
 
 KEEPALIVE_INTERVAL = 2.0  # seconds; PROTOCOL, Discovery
 MISSED_UPDATE_DEADLINE = 6.0  # seconds; STANDING: updates that a silent watch misses count as delivered then
@@ -75,8 +75,7 @@
 class Discovery:
     """Passes the endpoint list on to its listeners and to the decision module.
 
-    `unix_offset` is added to a Unix time in microseconds to get the time of the gateway's clock. If
-    `is_pushed` is true, discovery sends changes without a request of the decision module. `open_watch`
+    If `is_pushed` is true, discovery sends changes without a request of the decision module. `open_watch`
     creates a watch from its settings. `connect_timeout` is in microseconds, `max_length` in bytes of one
     message.
     """
@@ -85,7 +84,7 @@
         self,
         loop: DecisionLoop,
         listeners: Sequence[EndpointListener],
-        unix_offset: int,
+        start_times: StartTimes,
         is_pushed: bool,
         open_watch: Callable[..., WatchStream],
         connect_timeout: int,
@@ -93,7 +92,7 @@
     ) -> None:
         self.loop = loop
         self.listeners = listeners
-        self.unix_offset = unix_offset
+        self.start_times = start_times
         self.is_pushed = is_pushed
         self.index = 0
         settings = WatchSettings(
@@ -149,6 +148,8 @@
         listed = [(self._entry(endpoint), host_port(endpoint.address)) for endpoint in update.endpoints]
         self.index = update.index
         is_snapshot = update.snapshot
+        if is_snapshot:
+            self.start_times.retain({endpoint.name for endpoint in update.endpoints})
         for listener in self.listeners:
             listener.listed(listed, is_snapshot)
         entries = [entry for entry, _ in listed]
@@ -159,8 +160,7 @@
         )
 
     def _entry(self, endpoint: Endpoint) -> EndpointEntry:
-        """Convert an entry; equal Unix times in milliseconds always give equal times in microseconds."""
-        started_at = round(endpoint.since_ms * 1000) + self.unix_offset if endpoint.since_ms else LONG_AGO
+        started_at = self.start_times.convert(endpoint.name, endpoint.since_ms)
         size = 1.0 if endpoint.weight is None else endpoint.weight
         state = STATES[endpoint.status]
         return EndpointEntry(
--- a/linenbridge/net/reactor.py
+++ b/linenbridge/net/reactor.py
@@ -1,8 +1,8 @@
 """Twisted's epoll reactor with less overhead per event.
 
 Sockets that are ready to be read are read without a logging context for each event, and the decision loop's
-turn runs right after each poll, without a timer in between. Timers run by the monotonic clock, where Twisted's
-run by the wall clock. All other events are left to Twisted.
+turn runs right after each poll, without a timer in between. Timers run by the monotonic clock, not by the
+wall clock as Twisted's do. All other events are left to Twisted.
 """
 
 from __future__ import annotations
--- a/linenbridge/process/components.py
+++ b/linenbridge/process/components.py
@@ -21,6 +21,7 @@
 from linenbridge.net.downstream import Clients
 from linenbridge.net.platform import Platform
 from linenbridge.net.descriptors import Descriptors
+from linenbridge.net.start_times import StartTimes
 from linenbridge.net.upstream import Instances
 from linenbridge.net.watch_stream import WatchStream
 from linenbridge.policy import DecisionModule
@@ -40,6 +41,11 @@
     return time.monotonic_ns() // 1000
 
 
+def wall_clock() -> int:
+    """Return the Unix time in microseconds."""
+    return time.time_ns() // 1000
+
+
 class GatewayComponents(NamedTuple):
     """The components of one gateway.
 
@@ -99,7 +105,7 @@
     discovery = Discovery(
         loop,
         listeners,
-        now() - time.time_ns() // 1000,
+        StartTimes(now, wall_clock),
         settings.discovery == "push",
         partial(open_watch, address=host_port(configuration.discovery)),
         connect_timeout,
