--- a/linenbridge/net/client_connection.py
+++ b/linenbridge/net/client_connection.py
@@ -27,9 +27,10 @@
 class ConnectionState(IntEnum):
     """State of a client's connection; it only ever advances to a higher value."""
 
-    OPEN = 0  # reads commands
-    DRAINING = 1  # sends the pending responses, and reads nothing more
-    LINGERING = 2  # has shut down its sending side, and waits for the client to close
+    OPEN = 0  # reads commands, and stays open after its responses
+    ENDING = 1  # reads commands, and ends with the first response behind which nothing is pending or unread
+    REJECTED = 2  # reads nothing more: what it has read can't be parsed, or its time is up
+    LINGERING = 3  # has ended its sending side, and waits until the client has received everything
 
 
 class PendingResponse:
@@ -65,7 +66,6 @@
     """Receives the events of clients' connections."""
 
     log: Log
-    closing: bool
 
     def on_command(self, response: PendingResponse, arguments: Buffers) -> None:
         """Handle a complete command; raises InvalidCommandError if it is not a valid request."""
@@ -73,6 +73,9 @@
     def on_waiting(self, client: Client) -> None:
         """Note that no response is pending on a connection."""
 
+    def ends_with_response(self, client: Client) -> bool:
+        """Return whether an open connection is to end with the response that it is about to send."""
+
     def set_buffered(self, client: Client, size: int) -> None:
         """Note how many bytes of an incomplete command a connection holds."""
 
@@ -84,16 +87,21 @@
 
 
 class Client(protocol.Protocol):
-    """One client's connection; nothing has been pending on it since `waiting_since`, in microseconds."""
+    """One client's connection; nothing has been pending on it since `waiting_since`, in microseconds.
+
+    The requests of a connection that `is_refused` are rejected at once.
+    """
 
-    transport: Any  # an ITCPTransport; mypy can't read its methods
+    transport: Any  # a ClientTransport
 
-    def __init__(self, owner: ClientOwner) -> None:
+    def __init__(self, owner: ClientOwner, is_refused: bool = False) -> None:
         self.owner = owner
+        self.is_refused = is_refused
         self.reader = resp.Reader(commands=True)
         self.pending: deque[PendingResponse] = deque()
         self.state = ConnectionState.OPEN
         self.has_sent_command = False
+        self.request_count = 0
         self.is_reading = False
         self.buffered = 0
         self.waiting_since = 0
@@ -110,9 +118,9 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Handle all complete commands; a malformed one gets an error response and closes the connection."""
-        if self.state != ConnectionState.OPEN:
+        if self.state >= ConnectionState.REJECTED:
             return
-        self.is_reading = True  # Keeps the connection from closing before all commands in `data` are handled.
+        self.is_reading = True  # No response is sent before all commands in `data` are handled.
         try:
             for arguments in self.reader.feed(data):
                 self._on_command(arguments)
@@ -120,13 +128,10 @@
             self.owner.log.event_sampled("malformed", "client", error=str(error))
             self.is_reading = False
             self.reject(str(error))
+            return
         self.is_reading = False
-        if self.state == ConnectionState.OPEN:
-            self.owner.set_buffered(self, self.reader.size)
-        if self.state == ConnectionState.OPEN and not self.pending:
-            self.owner.on_waiting(self)
-        if self.owner.closing and not self.reader.size:
-            self.leave()
+        self.owner.set_buffered(self, self.reader.size)
+        self.flush()
 
     def _on_command(self, arguments: Any) -> None:
         response = PendingResponse(self)
@@ -138,42 +143,79 @@
             self.owner.log.count("invalid")
             response.send_error(str(error))
 
+    # ---- the end of the connection -----------------------------------------------------------------
+
     def reject(self, error: str) -> None:
         """Send one error after all pending responses, and close the connection.
 
         Bytes that arrive later are not read: they can't be parsed, or they arrive too late.
         """
-        if self.state == ConnectionState.OPEN:
-            self._drain()
-            response = PendingResponse(self)
-            self.pending.append(response)
-            response.send_error(error)
-
-    def leave(self) -> None:
-        """Close the connection as soon as no response is pending."""
-        if self.state == ConnectionState.OPEN:
-            self._drain()
-            self.flush()
-
-    def _drain(self) -> None:
-        """Stop reading. Commands that arrive later are not accepted, and the client sends them elsewhere."""
-        self.state = ConnectionState.DRAINING
+        if self.state >= ConnectionState.REJECTED:
+            return
+        self.state = ConnectionState.REJECTED
         self.reader = resp.Reader(commands=True)
         self.owner.set_buffered(self, 0)
         watch_for_close(self.transport)
+        response = PendingResponse(self)
+        self.pending.append(response)
+        response.send_error(error)
+
+    def end_with_response(self) -> None:
+        """Let the connection end with its next response."""
+        self.state = max(self.state, ConnectionState.ENDING)
+
+    def end(self) -> None:
+        """Close the connection as soon as no response is pending and nothing is unread."""
+        self.end_with_response()
+        self._settle()
+
+    def is_at_rest(self) -> bool:
+        """Return whether the connection is between two requests: nothing pending, incomplete or unread."""
+        return not (self.pending or self.is_reading or self.reader.size or self.transport.has_unread())
 
     def flush(self) -> None:
         """Send all responses whose predecessors have been sent, in the order of the commands."""
+        if self.is_reading:
+            return
+        buffers: list[bytes | memoryview] = []
         while self.pending and self.pending[0].data is not None:
-            write_immediately(self.transport, b"".join(self.pending.popleft().data or ()))
-        if self.pending or self.is_reading or self.state == ConnectionState.LINGERING:
+            buffers.extend(self.pending.popleft().data or ())
+        if buffers:
+            data = b"".join(buffers)
+            if not self.pending and self._ends_with_response():
+                self._send_last(data)
+                return
+            write_immediately(self.transport, data)
+        self._settle()
+
+    def _ends_with_response(self) -> bool:
+        if self.state >= ConnectionState.REJECTED:
+            return self.state == ConnectionState.REJECTED
+        if self.reader.size:
+            return False
+        if self.state == ConnectionState.OPEN and not self.owner.ends_with_response(self):
+            return False
+        return not self.transport.has_unread()
+
+    def _settle(self) -> None:
+        """End an ending connection that is at rest; report any other without a pending response."""
+        if self.pending or self.state >= ConnectionState.REJECTED:
             return
-        if self.state == ConnectionState.DRAINING:
-            # Only the sending side is shut down. Closing a socket with unread bytes resets it, and a reset
-            # discards the responses that the client has not read yet.
-            self.state = ConnectionState.LINGERING
-            self.transport.unregisterProducer()
-            self.transport.loseWriteConnection()
+        if self.state == ConnectionState.ENDING and self.has_sent_command and self.is_at_rest():
+            self._send_last(b"")
+        else:
+            self.owner.on_waiting(self)
+
+    def _send_last(self, data: bytes) -> None:
+        """Send the last response with the end of the stream, and wait for the client's close.
+
+        The owner limits the wait. Nothing more is read: a command that crosses the end is sent once more by
+        its client.
+        """
+        self.state = ConnectionState.LINGERING
+        self.transport.unregisterProducer()
+        self.transport.send_last(data)
+        watch_for_close(self.transport)
         self.owner.on_waiting(self)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: ARG002  # Twisted's signature
--- a/linenbridge/net/decision_loop.py
+++ b/linenbridge/net/decision_loop.py
@@ -191,6 +191,20 @@
             )
         )
 
+    def refuse(self, request: ActiveRequest, reason: str) -> None:
+        """Reject a request at once that has been read completely, without the decision module."""
+        self.log.count("accepted", request.method)
+        self.log.count("refused", reason)
+        self.log.count("answered", request.method, REJECTED)
+        request.ended = True
+        request.respond(REJECTED, 0, ())
+
+    def abandon(self, request: ActiveRequest) -> None:
+        """Fail a request whose time is up before the decision module has ended it."""
+        if not request.ended:
+            self._respond(request.id, FAILED)
+            self.enqueue(lambda now: self.decision_module.on_client_disconnected(now, request.id))
+
     def client_disconnected(self, request: ActiveRequest) -> None:
         """End a request whose client has disconnected.
 
--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from itertools import islice
+from typing import Any, Protocol
 
 from twisted.internet.protocol import Factory
 
@@ -17,28 +18,44 @@
 from linenbridge.logging.event_log import Log
 from linenbridge.net.client_connection import Buffers, Client, ConnectionState, PendingResponse
 from linenbridge.net.commands import PING, command_name, parse_request
-from linenbridge.net.decision_loop import (
-    ActiveRequest,
-    AttemptTransport,
-    DecisionLoop,
-    has_nothing_unread,
-    read_remaining,
-)
+from linenbridge.net.decision_loop import ActiveRequest, AttemptTransport, DecisionLoop
 from linenbridge.net.descriptors import Descriptors
+from linenbridge.net.listener import Listener
 
 LAST_CONNECTIONS = 0.4 + 0.05  # seconds from SIGTERM to the last new connections; PROTOCOL, Figures and rules
-LAST_COMMANDS = 0.7  # seconds from SIGTERM to the earliest SIGKILL; PROTOCOL, Figures
+LAST_COMMANDS = 0.7  # seconds from SIGTERM to the last commands that are forwarded; PROTOCOL, Figures
+CLOSE_RETRY = 0.01  # seconds between two attempts to empty the listener's queue in a stop
 IDLE_TIMEOUT = 2_000_000  # microseconds without an open request; LATER, The long day
-BATCH = 21  # connections; after accepting one, Twisted's Port.doRead accepts up to twenty more at once
+CHECK_INTERVAL = 100_000  # microseconds between two looks at lingering connections, or for room
+MAX_EXAMINED = 64  # connections looked at for each new one
 MICROSECONDS_PER_SECOND = 1e6
+STOPPING = "the gateway is stopping"
+
+
+class Admission(Protocol):
+    """Decides which connections make room, and whose requests are refused."""
+
+    def is_short(self, available: int) -> bool:
+        """Return whether a batch of new connections would take all descriptors that are available."""
+
+    def needs_room(self, staying: int, available: int) -> bool:
+        """Return whether connections have to end."""
+
+    def refuses(self, available: int) -> bool:
+        """Return whether the requests of a new connection are refused."""
+
+    def may_end_unasked(self, idle_time: int) -> bool:
+        """Return whether a connection may end between two requests, after `idle_time` microseconds."""
+
+    def may_end_with_response(self, request_count: int) -> bool:
+        """Return whether a connection may end with a response, after this number of requests."""
 
 
 class Clients(Factory):
     """All clients' connections of one gateway.
 
-    `max_ttl` is the longest deadline in microseconds. `max_buffered` limits the bytes of incomplete commands
-    over all connections. `pool` is how many connections the usual clients hold at most in total, so that an
-    idle connection may keep out a client that has a request.
+    `max_ttl` is the longest deadline, `stop_time` the time from SIGTERM to the last response, both in
+    microseconds. `max_buffered` limits the bytes of incomplete commands over all connections.
     """
 
     def __init__(
@@ -48,9 +65,10 @@
         instances: AttemptTransport,
         methods: dict[str, Method],
         max_ttl: int,
+        stop_time: int,
         max_buffered: int,
         descriptors: Descriptors,
-        pool: int,
+        admission: Admission,
         log: Log,
     ) -> None:
         self.loop = loop
@@ -58,38 +76,59 @@
         self.instances = instances
         self.methods = {name.encode(): method for name, method in methods.items()}
         self.max_ttl = max_ttl
+        self.stop_time = stop_time
         self.max_buffered = max_buffered
         self.buffered = 0
         self.descriptors = descriptors
-        self.pool = pool
+        self.admission = admission
         self.log = log
         self.open: dict[Client, None] = {}
         # Connections without an open request, each group in the order of `waiting_since`: `silent` ones have
         # sent no command yet or hold an incomplete one, `idle` ones have sent a command before, and
-        # `closing_clients` are about to close.
+        # `lingering` ones wait for their client to receive everything.
         self.silent: dict[Client, None] = {}
         self.idle: dict[Client, None] = {}
-        self.closing_clients: dict[Client, None] = {}
+        self.lingering: dict[Client, None] = {}
         self.timer: Any = None
         self.port: Any = None
-        self.paused = False
-        self.closing = False
+        self.is_paused = False
+        self.stop_at: int | None = None
+        self.is_ending = False  # Every connection ends with its next response.
+        self.is_refusing = False  # Every new request is rejected.
         self.on_stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
         """Start to listen; raises Twisted's CannotListenError if the address can't be used."""
-        self.port = reactor.listenTCP(port, self, backlog=self.descriptors.limit, interface=host)
-
-    def buildProtocol(self, addr: Any) -> Client | None:  # noqa: ARG002  # Twisted's signature
-        """Accept a connection, and evict idle ones if there is too little room for the next."""
+        listener = Listener(reactor, self, host, port)
+        listener.startListening()
+        self.port = listener
+
+    def has_room(self) -> bool:
+        """Return whether one more connection may be accepted, after making room for it."""
+        if self._needs_room():
+            self._make_room()
+        return self.descriptors.available() > 0
+
+    def on_pause(self) -> None:
+        """Note that no connection is accepted until one has closed."""
+        self.is_paused = True
+        self.log.event_sampled("accept", "paused", clients=len(self.open))
+        self._arm_timer(CHECK_INTERVAL)
+
+    def _resume_if_room(self) -> None:
+        if self.is_paused and self.port is not None and self.descriptors.available() > 0:
+            self.is_paused = False
+            self.log.event_sampled("accept", "resumed", clients=len(self.open))
+            self.port.resume()
+
+    def buildProtocol(self, addr: Any) -> Client:  # noqa: ARG002  # Twisted's signature
+        """Accept a connection, for which there is room."""
         if not self.descriptors.acquire():
             self.log.count("client.rejected")
-            return None
         self.log.count("client.connected")
-        self.port.numberAccepts = 1
-        if not self.paused and self._is_saturated():
-            self._evict_idle()
-        client = Client(self)
+        client = Client(self, self.admission.refuses(self.descriptors.available()))
+        if client.is_refused or self.is_ending:
+            client.end_with_response()
         self.open[client] = None
         return client
 
@@ -102,11 +141,16 @@
             response.send((b"+PONG\r\n",))
             return
         command = parse_request(arguments, self.methods, self.loop.open, self.max_ttl)
+        response.client.request_count += 1
         request = ActiveRequest(
             command.rpc_id, command.method.name, self.instances, command.forwarded, response.respond
         )
+        if self.is_refusing or response.client.is_refused:
+            self.loop.refuse(request, "stopping" if self.is_refusing else "connections")
+            return
         response.request = request
-        self.loop.accept(request, command.ttl, command.work, command.tenant, command.key)
+        ttl = command.ttl if self.stop_at is None else min(command.ttl, self.stop_at - self.loop.now())
+        self.loop.accept(request, max(0, ttl), command.work, command.tenant, command.key)
 
     def on_client_disconnected(self, request: ActiveRequest) -> None:
         """End a request whose client has disconnected."""
@@ -118,8 +162,7 @@
         self._remove_waiting(client)
         self.set_buffered(client, 0)
         self.descriptors.release()
-        if self.paused:
-            self._evict_idle()
+        self._resume_if_room()
         self._finish_stop_if_closed()
 
     # ---- connections without an open request -------------------------------------------------------
@@ -131,49 +174,72 @@
         """
         if client not in self.open:
             return
-        waiting = self.silent if client.state == ConnectionState.OPEN else self.closing_clients
-        if client.has_sent_command and not client.reader.size and client.state == ConnectionState.OPEN:
+        if client.state == ConnectionState.LINGERING:
+            waiting = self.lingering
+        elif client.has_sent_command and not client.reader.size:
             waiting = self.idle
-        elif client in waiting:
+        else:
+            waiting = self.silent
+            if self.is_refusing and not client.transport.has_unread():
+                client.reject(STOPPING)
+                return
+        if waiting is not self.idle and client in waiting:
             return
         self._remove_waiting(client)
         waiting[client] = None
         client.waiting_since = self.loop.now()
-        if waiting is self.idle and self.paused:
-            self._evict_idle()
-        elif waiting is not self.idle and self.timer is None:
-            self._arm_timer(IDLE_TIMEOUT)
+        if waiting is not self.idle:
+            self._arm_timer(IDLE_TIMEOUT if waiting is self.silent else CHECK_INTERVAL)
 
     def _remove_waiting(self, client: Client) -> None:
-        for waiting in (self.silent, self.idle, self.closing_clients):
+        for waiting in (self.idle, self.silent, self.lingering):
             waiting.pop(client, None)
 
     def _arm_timer(self, delay: int) -> None:
+        """Set the timer, unless it is already set to an earlier time."""
+        due = self.reactor.seconds() + max(0, delay) / MICROSECONDS_PER_SECOND
+        if self.timer is not None and self.timer.active():
+            if self.timer.getTime() <= due:
+                return
+            self.timer.cancel()
         self.timer = self.reactor.callLater(max(0, delay) / MICROSECONDS_PER_SECOND, self._on_timer)
 
     def _on_timer(self) -> None:
-        """Close connections silent for IDLE_TIMEOUT, and reset those that have not closed within that time.
+        """Close connections silent for IDLE_TIMEOUT, and lingering ones that their client has closed.
 
-        Idle connections are closed only to make room for new ones.
+        A client that has not closed within that time is reset. Idle connections are closed only to make room
+        for new ones.
         """
-        cutoff = self.loop.now() - IDLE_TIMEOUT
-        for client in [client for client in self.silent if client.waiting_since <= cutoff]:
-            if not client.reader.size and not has_nothing_unread(client.transport):
+        self.timer = None
+        now = self.loop.now()
+        for client in [client for client in self.silent if client.waiting_since <= now - IDLE_TIMEOUT]:
+            if not client.reader.size and client.transport.has_unread():
                 continue  # A command has arrived while this process was stalled, and is read next.
             self.log.count("client.silent")
             client.reject("nothing was asked in time")
-        for client in [client for client in self.closing_clients if client.waiting_since <= cutoff]:
-            self.log.count("client.reset")
-            client.transport.abortConnection()
-        if self.paused:
-            self._evict_idle()
-        oldest = [
-            next(iter(waiting)).waiting_since for waiting in (self.silent, self.closing_clients) if waiting
-        ]
-        self.timer = None  # Reset only here, so that the calls above do not set a second timer.
-        if oldest or self.paused:
-            now = self.loop.now()
-            self._arm_timer(min(oldest, default=now) + IDLE_TIMEOUT - now)
+        for client in [client for client in self.lingering if client.waiting_since <= now - IDLE_TIMEOUT]:
+            self._reset(client)
+        self._close_finished()
+        if self.is_paused:
+            self.has_room()
+            self._resume_if_room()
+        if self.silent:
+            self._arm_timer(next(iter(self.silent)).waiting_since + IDLE_TIMEOUT - now)
+        if self.lingering or self.is_paused:
+            self._arm_timer(CHECK_INTERVAL)
+
+    def _close_finished(self) -> None:
+        """Close the lingering connections that their clients have closed."""
+        for client in list(self.lingering):
+            if client.transport.has_peer_closed():
+                client.transport.close()
+
+    def _reset(self, client: Client) -> None:
+        self.log.count("client.reset")
+        undelivered = client.transport.undelivered()
+        if undelivered:
+            self.log.event_sampled("client", "undelivered", bytes=undelivered)
+        client.transport.abortConnection()
 
     def set_buffered(self, client: Client, size: int) -> None:
         """Update the size of all incomplete commands; while it exceeds `max_buffered`, reject the largest."""
@@ -188,102 +254,118 @@
 
     # ---- room for new connections ------------------------------------------------------------------
 
-    def _is_short_of_descriptors(self, more: int = 0) -> bool:
-        return self.descriptors.available() + more <= BATCH
+    def _needs_room(self) -> bool:
+        staying = len(self.open) - len(self.lingering)
+        return self.admission.needs_room(staying, self.descriptors.available())
 
-    def _is_saturated(self) -> bool:
-        staying = len(self.open) - len(self.closing_clients)
-        return staying >= self.pool - BATCH or self._is_short_of_descriptors(len(self.closing_clients))
+    def ends_with_response(self, client: Client) -> bool:
+        """Return whether a connection ends with its response, because others need room."""
+        return self._needs_room() and self.admission.may_end_with_response(client.request_count)
 
-    def _evictable(self) -> list[Client]:
-        """Return the connections that may be closed, in the order in which to close them.
+    def _make_room(self) -> None:
+        """Close connections without an open request until there is room for a batch of new ones.
 
-        First come those idle for IDLE_TIMEOUT, then silent ones, then those idle for a shorter time, and last
-        those with an incomplete command; the oldest of each group comes first.
-        """
-        cutoff = self.loop.now() - IDLE_TIMEOUT
-        return [
-            *(client for client in self.idle if client.waiting_since <= cutoff),
-            *(client for client in self.silent if not client.reader.size),
-            *(client for client in self.idle if client.waiting_since > cutoff),
-            *(client for client in self.silent if client.reader.size),
-        ]
-
-    def _evict_idle(self) -> None:
-        """Close connections without an open request until there is room for a whole batch of new ones.
-
-        Every accepted connection gets a response, and a whole batch may arrive at once. PROTOCOL lets a
-        gateway close a connection between requests; otherwise clients that keep their connection after one
-        request would keep all others out. A connection with unread bytes is not closed. If too few can be
-        closed, accepting pauses, and new connections wait in the system's queue.
+        PROTOCOL lets a gateway close a connection between requests; otherwise clients that keep their
+        connection after one request would keep all others out.
         """
-        for client in list(self.closing_clients)[: max(0, BATCH + 1 - self.descriptors.available())]:
-            client.transport.abortConnection()
         for client in self._evictable():
-            if not self._is_saturated():
+            if not self._needs_room():
+                return
+            if client in self.open:
+                self._evict(client)
+
+    def _evict(self, client: Client) -> None:
+        """End a connection unless something is unread; don't wait for its client if descriptors are short."""
+        if client in self.idle:
+            client.end()
+        elif client in self.silent and not client.transport.has_unread():
+            client.reject("room is short, nothing was asked")
+        if client.state != ConnectionState.LINGERING:
+            return
+        self.log.count("client.evicted")
+        if self.admission.is_short(self.descriptors.available()) and not client.transport.undelivered():
+            client.transport.close()
+
+    def _evictable(self) -> list[Client]:
+        """Return the connections to close first, in this order; the oldest of each group comes first.
+
+        Silent ones come last: one of them may just be about to send its first command.
+        """
+        now = self.loop.now()
+        is_short = self.admission.is_short(self.descriptors.available())
+        candidates = list(islice(self.lingering, MAX_EXAMINED)) if is_short else []
+        for client in islice(self.idle, MAX_EXAMINED):
+            if not self.admission.may_end_unasked(now - client.waiting_since):
                 break
-            if has_nothing_unread(client.transport):
-                self.log.count("client.evicted")
-                if client in self.idle:
-                    client.leave()  # The client would take an error for the response to its next command.
-                else:
-                    client.reject("room is short, nothing was asked")
-        if not self.closing and self.paused != self._is_short_of_descriptors():
-            self._toggle_accepting()
-        if self.paused and self.timer is None:
-            self._arm_timer(IDLE_TIMEOUT)
-
-    def _toggle_accepting(self) -> None:
-        self.paused = not self.paused
-        if self.paused:
-            self.port.stopReading()
-        else:
-            self.port.startReading()
-        self.log.event_sampled("accept", "paused" if self.paused else "resumed", clients=len(self.open))
+            candidates.append(client)
+        if is_short:
+            silent = list(islice(self.silent, MAX_EXAMINED))
+            candidates += sorted(silent, key=lambda client: client.reader.size > 0)
+        return candidates
 
     # ---- shutdown --------------------------------------------------------------------------------
 
     def stop(self, reactor: Any, on_stopped: Callable[[], None]) -> None:
         """Stop gracefully, then call `on_stopped`.
 
-        Requests are served while new connections may arrive (LAST_CONNECTIONS); after that, each connection
-        is closed as soon as no response is pending on it.
+        Requests are served while new connections may arrive (LAST_CONNECTIONS). After that each connection
+        ends with its next response, or at LAST_COMMANDS if it is at rest. A command that is read later,
+        behind a pending one, is rejected. At `stop_time` every request that is still open fails.
         """
         if self.on_stopped is not None:
             return
         self.on_stopped = on_stopped
         if self.port is None:
-            self.closing = True
+            self.is_ending = True
             self._finish_stop_if_closed()
-        else:
-            reactor.callLater(LAST_CONNECTIONS, self._close_port)
+            return
+        self.stop_at = self.loop.now() + self.stop_time
+        reactor.callLater(LAST_CONNECTIONS, self._close_port)
+        reactor.callLater(LAST_COMMANDS, self._end_resting)
+        reactor.callLater(self.stop_time / MICROSECONDS_PER_SECOND, self._end_all)
 
     def _close_port(self) -> None:
-        """Accept the connections in the queue, read what is unread, and close the listener.
+        """Accept the connections in the queue, then close the listener."""
+        if not self.is_ending:
+            self.is_ending = True
+            for client in list(self.open):
+                client.end_with_response()
+        if self.port.accept_queued():
+            self.is_paused = False
+            self.port.close()
+            self._finish_stop_if_closed()
+        else:
+            self.reactor.callLater(CLOSE_RETRY, self._close_port)
 
-        A connection that has sent no command yet, or holds an incomplete one, has a command on the way. It
-        stays open until LAST_COMMANDS, while a command can still be answered.
-        """
-        self.port.numberAccepts = self.descriptors.available()
-        self.port.doRead()
-        self.port.stopListening()
-        self.closing = True
-        self.paused = False
+    def _end_resting(self) -> None:
+        """End the connections on which no response is pending, and reject all commands from now on."""
+        self.is_refusing = True
         for client in list(self.open):
-            if not client.pending and not has_nothing_unread(client.transport):
-                read_remaining(client.transport)
-            if client.has_sent_command and not client.reader.size:
-                client.leave()
-        self.reactor.callLater(LAST_COMMANDS - LAST_CONNECTIONS, self._close_all)
+            if client.has_sent_command:
+                client.end()
+            elif not client.pending:
+                self.on_waiting(client)
         self._finish_stop_if_closed()
 
-    def _close_all(self) -> None:
+    def _end_all(self) -> None:
+        """Fail the requests that are still open, and close all connections."""
         for client in list(self.open):
-            client.leave()
+            unanswered = [response.request for response in client.pending if response.request is not None]
+            for request in unanswered:
+                self.log.event("client.unanswered", id=request.id, method=request.method)
+                self.loop.abandon(request)
+            client.reject(STOPPING)
+            if client.state == ConnectionState.LINGERING and client in self.open:
+                self._reset(client) if client.transport.undelivered() else client.transport.close()
+        if self.port is not None:
+            self.port.close()
         self._finish_stop_if_closed()
 
+    def _is_listening(self) -> bool:
+        return self.port is not None and bool(self.port.connected)
+
     def _finish_stop_if_closed(self) -> None:
-        if self.on_stopped is not None and self.closing and not self.open:
+        if self.on_stopped is not None and self.is_ending and not self.open and not self._is_listening():
             if self.timer is not None and self.timer.active():
                 self.timer.cancel()
             on_stopped, self.on_stopped = self.on_stopped, lambda: None
--- a/linenbridge/process/components.py
+++ b/linenbridge/process/components.py
@@ -25,6 +25,7 @@
 from linenbridge.net.upstream import Instances
 from linenbridge.net.watch_stream import WatchStream
 from linenbridge.policy import DecisionModule
+from linenbridge.policy.connection_admission import ConnectionAdmission, stop_time
 from linenbridge.process.configuration import ProcessConfiguration, load
 from linenbridge.startup import micros, startup
 
@@ -139,15 +140,18 @@
     methods: dict[str, Method],
     log: Log,
 ) -> Clients:
+    max_deadline = configuration.settings.max_deadline()
+    client_descriptors = budgets.descriptors - budgets.descriptors // 2
     return Clients(
         loop,
         reactor,
         instances,
         methods,
-        configuration.settings.max_deadline(),
+        max_deadline,
+        stop_time(max_deadline),
         budgets.max_message_bytes,
-        Descriptors(budgets.descriptors - budgets.descriptors // 2),
-        configuration.limits.sockets // CLIENT_POOL_DIVISOR,
+        Descriptors(client_descriptors),
+        ConnectionAdmission(client_descriptors, configuration.limits.sockets // CLIENT_POOL_DIVISOR),
         log,
     )
 
--- a/linenbridge/process/gateway.py
+++ b/linenbridge/process/gateway.py
@@ -39,7 +39,7 @@
         that no request is sent by an outdated list while a newer one is on its way.
         """
         clients = self.components.clients
-        if clients.port is not None or clients.closing:
+        if clients.port is not None or clients.is_ending:
             return
         try:
             clients.listen(self.reactor, *host_port(self.configuration.listen))
