--- a/linenbridge/net/client_connection.py
+++ b/linenbridge/net/client_connection.py
@@ -215,6 +215,8 @@
         self.state = ConnectionState.LINGERING
         self.transport.unregisterProducer()
         self.transport.send_last(data)
+        if self.transport.has_unread() and not self.transport.has_peer_closed():
+            self.owner.log.event_sampled("client", "crossed", after_response=bool(data))
         watch_for_close(self.transport)
         self.owner.on_waiting(self)
 
--- a/linenbridge/net/client_transport.py
+++ b/linenbridge/net/client_transport.py
@@ -7,7 +7,7 @@
 
 import array
 import fcntl
-import select
+import socket
 import termios
 from contextlib import suppress
 from socket import MSG_MORE, MSG_PEEK, SHUT_WR
@@ -17,6 +17,19 @@
 from twisted.python.failure import Failure
 
 
+# States of a socket whose peer has closed, as TCP_INFO names them in its first byte (linux/tcp.h).
+TIME_WAIT, CLOSED, CLOSE_WAIT, LAST_ACK, CLOSING = 6, 7, 8, 9, 11
+PEER_CLOSED = frozenset({TIME_WAIT, CLOSED, CLOSE_WAIT, LAST_ACK, CLOSING})
+
+
+def has_peer_closed(connection: socket.socket) -> bool:
+    """Return whether the peer of a connection has closed it, whatever is unread before the end."""
+    try:
+        return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_CLOSED
+    except OSError:
+        return False
+
+
 class ClientTransport(tcp.Server):
     """An accepted socket.
 
@@ -44,9 +57,7 @@
 
     def has_peer_closed(self) -> bool:
         """Return whether the client has closed its connection, whatever is unread before the end."""
-        poll = select.poll()
-        poll.register(self.socket, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return has_peer_closed(self.socket)
 
     def send_last(self, data: bytes) -> None:
         """Send the last data and end the sending side.
--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -24,10 +24,11 @@
 
 LAST_CONNECTIONS = 0.4 + 0.05  # seconds from SIGTERM to the last new connections; PROTOCOL, Figures and rules
 LAST_COMMANDS = 0.7  # seconds from SIGTERM to the last commands that are forwarded; PROTOCOL, Figures
+CLOSE_TIME = 0.05  # seconds at the end of a stop in which clients close their connections
 CLOSE_RETRY = 0.01  # seconds between two attempts to empty the listener's queue in a stop
 IDLE_TIMEOUT = 2_000_000  # microseconds without an open request; LATER, The long day
 CHECK_INTERVAL = 100_000  # microseconds between two looks at lingering connections, or for room
-MAX_EXAMINED = 64  # connections looked at for each new one
+MAX_EXAMINED = 16  # connections of each group looked at for each new one
 MICROSECONDS_PER_SECOND = 1e6
 STOPPING = "the gateway is stopping"
 
@@ -44,11 +45,11 @@
     def refuses(self, available: int) -> bool:
         """Return whether the requests of a new connection are refused."""
 
-    def may_end_unasked(self, idle_time: int) -> bool:
+    def may_end_unasked(self, idle_time: int, request_count: int) -> bool:
         """Return whether a connection may end between two requests, after `idle_time` microseconds."""
 
-    def may_end_with_response(self, request_count: int) -> bool:
-        """Return whether a connection may end with a response, after this number of requests."""
+    def may_end_with_response(self, available: int, request_count: int) -> bool:
+        """Return whether an open connection ends with a response, after this number of requests."""
 
 
 class Clients(Factory):
@@ -94,12 +95,13 @@
         self.is_paused = False
         self.stop_at: int | None = None
         self.is_ending = False  # Every connection ends with its next response.
-        self.is_refusing = False  # Every new request is rejected.
+        self.is_refusing = False  # Every request behind a pending one is rejected.
+        self.is_past_stop_time = False  # Every request is rejected.
         self.on_stopped: Callable[[], None] | None = None
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
         """Start to listen; raises Twisted's CannotListenError if the address can't be used."""
-        listener = Listener(reactor, self, host, port)
+        listener = Listener(reactor, self, host, port, backlog=self.descriptors.limit)
         listener.startListening()
         self.port = listener
 
@@ -145,13 +147,19 @@
         request = ActiveRequest(
             command.rpc_id, command.method.name, self.instances, command.forwarded, response.respond
         )
-        if self.is_refusing or response.client.is_refused:
-            self.loop.refuse(request, "stopping" if self.is_refusing else "connections")
+        if (reason := self._reason_to_refuse(response.client)) is not None:
+            self.loop.refuse(request, reason)
             return
         response.request = request
         ttl = command.ttl if self.stop_at is None else min(command.ttl, self.stop_at - self.loop.now())
         self.loop.accept(request, max(0, ttl), command.work, command.tenant, command.key)
 
+    def _reason_to_refuse(self, client: Client) -> str | None:
+        is_behind = len(client.pending) > 1  # The command's own response is the last one.
+        if self.is_past_stop_time or (self.is_refusing and is_behind):
+            return "stopping"
+        return "connections" if client.is_refused else None
+
     def on_client_disconnected(self, request: ActiveRequest) -> None:
         """End a request whose client has disconnected."""
         self.loop.client_disconnected(request)
@@ -224,7 +232,7 @@
             self.has_room()
             self._resume_if_room()
         if self.silent:
-            self._arm_timer(next(iter(self.silent)).waiting_since + IDLE_TIMEOUT - now)
+            self._arm_timer(max(CHECK_INTERVAL, next(iter(self.silent)).waiting_since + IDLE_TIMEOUT - now))
         if self.lingering or self.is_paused:
             self._arm_timer(CHECK_INTERVAL)
 
@@ -260,7 +268,7 @@
 
     def ends_with_response(self, client: Client) -> bool:
         """Return whether a connection ends with its response, because others need room."""
-        return self._needs_room() and self.admission.may_end_with_response(client.request_count)
+        return self.admission.may_end_with_response(self.descriptors.available(), client.request_count)
 
     def _make_room(self) -> None:
         """Close connections without an open request until there is room for a batch of new ones.
@@ -276,13 +284,14 @@
 
     def _evict(self, client: Client) -> None:
         """End a connection unless something is unread; don't wait for its client if descriptors are short."""
-        if client in self.idle:
-            client.end()
-        elif client in self.silent and not client.transport.has_unread():
-            client.reject("room is short, nothing was asked")
         if client.state != ConnectionState.LINGERING:
-            return
-        self.log.count("client.evicted")
+            if client in self.idle:
+                client.end()
+            elif not client.transport.has_unread():
+                client.reject("room is short, nothing was asked")
+            if client.state != ConnectionState.LINGERING:
+                return
+            self.log.count("client.evicted")
         if self.admission.is_short(self.descriptors.available()) and not client.transport.undelivered():
             client.transport.close()
 
@@ -294,10 +303,11 @@
         now = self.loop.now()
         is_short = self.admission.is_short(self.descriptors.available())
         candidates = list(islice(self.lingering, MAX_EXAMINED)) if is_short else []
-        for client in islice(self.idle, MAX_EXAMINED):
-            if not self.admission.may_end_unasked(now - client.waiting_since):
-                break
-            candidates.append(client)
+        candidates += [
+            client
+            for client in islice(self.idle, MAX_EXAMINED)
+            if self.admission.may_end_unasked(now - client.waiting_since, client.request_count)
+        ]
         if is_short:
             silent = list(islice(self.silent, MAX_EXAMINED))
             candidates += sorted(silent, key=lambda client: client.reader.size > 0)
@@ -309,8 +319,9 @@
         """Stop gracefully, then call `on_stopped`.
 
         Requests are served while new connections may arrive (LAST_CONNECTIONS). After that each connection
-        ends with its next response, or at LAST_COMMANDS if it is at rest. A command that is read later,
-        behind a pending one, is rejected. At `stop_time` every request that is still open fails.
+        ends with its next response, so that no request is on its way to it. From LAST_COMMANDS on, a command
+        that is read behind a pending one is rejected, and a connection without a whole command ends. At
+        `stop_time` all connections end, and the requests that are still open fail.
         """
         if self.on_stopped is not None:
             return
@@ -321,7 +332,7 @@
             return
         self.stop_at = self.loop.now() + self.stop_time
         reactor.callLater(LAST_CONNECTIONS, self._close_port)
-        reactor.callLater(LAST_COMMANDS, self._end_resting)
+        reactor.callLater(LAST_COMMANDS, self._end_silent)
         reactor.callLater(self.stop_time / MICROSECONDS_PER_SECOND, self._end_all)
 
     def _close_port(self) -> None:
@@ -337,30 +348,37 @@
         else:
             self.reactor.callLater(CLOSE_RETRY, self._close_port)
 
-    def _end_resting(self) -> None:
-        """End the connections on which no response is pending, and reject all commands from now on."""
+    def _end_silent(self) -> None:
+        """End the connections without a whole command, and reject commands behind a pending one."""
         self.is_refusing = True
-        for client in list(self.open):
-            if client.has_sent_command:
-                client.end()
-            elif not client.pending:
-                self.on_waiting(client)
+        for client in list(self.silent):
+            self.on_waiting(client)
         self._finish_stop_if_closed()
 
     def _end_all(self) -> None:
-        """Fail the requests that are still open, and close all connections."""
+        """Reject what is unread, fail the requests that are still open, and end all connections."""
+        self.is_past_stop_time = True
+        for client in list(self.open):
+            if client.state < ConnectionState.REJECTED:
+                client.transport.doRead()
         for client in list(self.open):
             unanswered = [response.request for response in client.pending if response.request is not None]
             for request in unanswered:
                 self.log.event("client.unanswered", id=request.id, method=request.method)
                 self.loop.abandon(request)
-            client.reject(STOPPING)
-            if client.state == ConnectionState.LINGERING and client in self.open:
-                self._reset(client) if client.transport.undelivered() else client.transport.close()
+        for client in list(self.open):
+            client.end()
+            if client.state < ConnectionState.LINGERING:
+                client.reject(STOPPING)
         if self.port is not None:
             self.port.close()
+        self.reactor.callLater(CLOSE_TIME, self._reset_all)
         self._finish_stop_if_closed()
 
+    def _reset_all(self) -> None:
+        for client in list(self.open):
+            self._reset(client)
+
     def _is_listening(self) -> bool:
         return self.port is not None and bool(self.port.connected)
 
--- a/linenbridge/net/listener.py
+++ b/linenbridge/net/listener.py
@@ -11,10 +11,9 @@
 from twisted.python.failure import Failure
 
 from linenbridge.logging.event_log import Log
-from linenbridge.net.client_transport import ClientTransport
+from linenbridge.net.client_transport import ClientTransport, has_peer_closed
 
-MAX_BACKLOG = 4_096  # connections in the system's queue; the default limit of Linux
-ACCEPT_BATCH = 1_024  # connections accepted before other sockets are served
+ACCEPT_BATCH = 1_024  # connections accepted before other sockets are served; most may have been left
 ACCEPT_RETRY = 0.02  # seconds after the system had no resources for a connection
 EXHAUSTED = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # errors that last; all others are those of one connection
 
@@ -39,8 +38,8 @@
 
     factory: Any  # a ConnectionFactory
 
-    def __init__(self, reactor: Any, factory: ConnectionFactory, host: str, port: int) -> None:
-        super().__init__(port, factory, MAX_BACKLOG, host, reactor)  # type: ignore[arg-type]
+    def __init__(self, reactor: Any, factory: ConnectionFactory, host: str, port: int, backlog: int) -> None:
+        super().__init__(port, factory, backlog, host, reactor)  # type: ignore[arg-type]
         self.is_paused = False
 
     def doRead(self) -> None:
@@ -48,7 +47,10 @@
         self.accept_queued()
 
     def accept_queued(self) -> bool:
-        """Accept a batch of the connections in the queue; return whether the queue is empty."""
+        """Accept a batch of the connections in the queue; return whether the queue is empty.
+
+        A connection that its client has left is closed at once: in an overload most of the queue are such.
+        """
         for _ in range(ACCEPT_BATCH):
             if not self.factory.has_room():
                 self._pause()
@@ -65,7 +67,11 @@
                     self.reactor.callLater(ACCEPT_RETRY, self.resume)
                     return False
                 continue
-            self._serve(accepted, address)
+            if has_peer_closed(accepted):
+                self.factory.log.count("client.left_queue")
+                accepted.close()
+            else:
+                self._serve(accepted, address)
         return False
 
     def _serve(self, accepted: Any, address: Any) -> None:
--- a/linenbridge/policy/connection_admission.py
+++ b/linenbridge/policy/connection_admission.py
@@ -1,4 +1,4 @@
-"""Connection admission: when clients' connections make room for others, and whose requests are refused.
+"""Connection admission: which connections make room for others, and whose requests are refused at once.
 
 While few descriptors are left, a new connection is still accepted, and its request is refused at once: in the
 system's queue it would get no response at all.
@@ -8,7 +8,8 @@
 
 ACCEPT_BATCH = 21  # connections that may arrive at once
 REFUSING_DIVISOR = 8  # 1/8 of the descriptors, one batch at most, is for connections that are refused
-MIN_IDLE_TIME = 250_000  # microseconds; a connection in regular use is rarely idle for longer
+MIN_IDLE_TIME = 1_000_000  # microseconds; a connection in regular use is rarely idle for longer
+MIN_IDLE_TIME_ONCE = 50_000  # microseconds; after the only request of a connection
 LONGEST_KILL_DEADLINE = 3_000_000  # microseconds; PROTOCOL, Figures: longer deadlines count as 3 s
 LAST_COMMANDS = 700_000  # microseconds from SIGTERM to the last commands; PROTOCOL, Figures
 STOP_MARGIN = 200_000  # microseconds before the earliest SIGKILL; the process may be held up for 0.15 s
@@ -37,19 +38,19 @@
         """Return whether the requests of a new connection are refused; `available` counts it as taken."""
         return available < self.refusing
 
-    def may_end_unasked(self, idle_time: int) -> bool:
+    def may_end_unasked(self, idle_time: int, request_count: int) -> bool:
         """Return whether a connection may end between two requests, after `idle_time` microseconds.
 
-        On one in regular use a request may be on its way.
+        On one in regular use the next request may be on its way.
         """
-        return idle_time >= MIN_IDLE_TIME
+        return idle_time >= (MIN_IDLE_TIME_ONCE if request_count == 1 else MIN_IDLE_TIME)
 
-    def may_end_with_response(self, request_count: int) -> bool:
-        """Return whether a connection may end with a response, after this number of requests.
+    def may_end_with_response(self, available: int, request_count: int) -> bool:
+        """Return whether an open connection ends with a response, after this number of requests.
 
         The client of one in regular use would only open another.
         """
-        return request_count == 1
+        return request_count == 1 and self.is_short(available)
 
 
 def stop_time(max_deadline: int) -> int:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,8 @@
     "tests/net/test_crossings.py": "gateway",
     "tests/net/test_ends.py": "gateway",
     "tests/net/test_process.py": "gateway",
+    "tests/net/test_clock.py": "gateway",
+    "tests/net/test_soak.py": "gateway",
     "tests/net/test_starts.py": "gateway",
     "tests/test_configuration.py": "processor",
     "tests/test_faults.py": "processor",
