--- a/linenbridge/net/client_connection.py
+++ b/linenbridge/net/client_connection.py
@@ -89,14 +89,15 @@
 class Client(protocol.Protocol):
     """One client's connection; nothing has been pending on it since `waiting_since`, in microseconds.
 
-    The requests of a connection that `is_refused` are rejected at once.
+    A connection that `is_surplus` was accepted while descriptors were short; the owner decides whether they
+    still are when its first request comes.
     """
 
     transport: Any  # a ClientTransport
 
-    def __init__(self, owner: ClientOwner, is_refused: bool = False) -> None:
+    def __init__(self, owner: ClientOwner, is_surplus: bool = False) -> None:
         self.owner = owner
-        self.is_refused = is_refused
+        self.is_surplus = is_surplus
         self.reader = resp.Reader(commands=True)
         self.pending: deque[PendingResponse] = deque()
         self.state = ConnectionState.OPEN
--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -22,6 +22,7 @@
 from linenbridge.net.descriptors import Descriptors
 from linenbridge.net.listener import Listener
 
+BACKLOG = 4_096  # connections; the system's usual limit, as a client that finds the queue full waits 1 s
 LAST_CONNECTIONS = 0.4 + 0.05  # seconds from SIGTERM to the last new connections; PROTOCOL, Figures and rules
 LAST_COMMANDS = 0.7  # seconds from SIGTERM to the last commands that are forwarded; PROTOCOL, Figures
 CLOSE_TIME = 0.05  # seconds at the end of a stop in which clients close their connections
@@ -101,7 +102,7 @@
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
         """Start to listen; raises Twisted's CannotListenError if the address can't be used."""
-        listener = Listener(reactor, self, host, port, backlog=self.descriptors.limit)
+        listener = Listener(reactor, self, host, port, backlog=BACKLOG)
         listener.startListening()
         self.port = listener
 
@@ -129,7 +130,7 @@
             self.log.count("client.rejected")
         self.log.count("client.connected")
         client = Client(self, self.admission.refuses(self.descriptors.available()))
-        if client.is_refused or self.is_ending:
+        if self.is_ending:
             client.end_with_response()
         self.open[client] = None
         return client
@@ -158,7 +159,11 @@
         is_behind = len(client.pending) > 1  # The command's own response is the last one.
         if self.is_past_stop_time or (self.is_refusing and is_behind):
             return "stopping"
-        return "connections" if client.is_refused else None
+        client.is_surplus = client.is_surplus and self.admission.refuses(self.descriptors.available())
+        if client.is_surplus:
+            client.end_with_response()
+            return "connections"
+        return None
 
     def on_client_disconnected(self, request: ActiveRequest) -> None:
         """End a request whose client has disconnected."""
@@ -199,6 +204,10 @@
         if waiting is not self.idle:
             self._arm_timer(IDLE_TIMEOUT if waiting is self.silent else CHECK_INTERVAL)
 
+    def waiting_counts(self) -> dict[str, int]:
+        """Return the number of connections in each group, by the group's name."""
+        return {"silent": len(self.silent), "idle": len(self.idle), "lingering": len(self.lingering)}
+
     def _remove_waiting(self, client: Client) -> None:
         for waiting in (self.idle, self.silent, self.lingering):
             waiting.pop(client, None)
--- a/linenbridge/policy/connection_admission.py
+++ b/linenbridge/policy/connection_admission.py
@@ -9,7 +9,7 @@
 ACCEPT_BATCH = 21  # connections that may arrive at once
 REFUSING_DIVISOR = 8  # 1/8 of the descriptors, one batch at most, is for connections that are refused
 MIN_IDLE_TIME = 1_000_000  # microseconds; a connection in regular use is rarely idle for longer
-MIN_IDLE_TIME_ONCE = 50_000  # microseconds; after the only request of a connection
+MIN_IDLE_TIME_ONCE = 50_000  # microseconds; after the only request of a connection, or none but PING
 LONGEST_KILL_DEADLINE = 3_000_000  # microseconds; PROTOCOL, Figures: longer deadlines count as 3 s
 LAST_COMMANDS = 700_000  # microseconds from SIGTERM to the last commands; PROTOCOL, Figures
 STOP_MARGIN = 200_000  # microseconds before the earliest SIGKILL; the process may be held up for 0.15 s
@@ -35,7 +35,7 @@
         return staying >= self.pool - ACCEPT_BATCH or self.is_short(available)
 
     def refuses(self, available: int) -> bool:
-        """Return whether the requests of a new connection are refused; `available` counts it as taken."""
+        """Return whether the first request of a surplus connection is refused; it holds a descriptor itself."""
         return available < self.refusing
 
     def may_end_unasked(self, idle_time: int, request_count: int) -> bool:
@@ -43,7 +43,7 @@
 
         On one in regular use the next request may be on its way.
         """
-        return idle_time >= (MIN_IDLE_TIME_ONCE if request_count == 1 else MIN_IDLE_TIME)
+        return idle_time >= (MIN_IDLE_TIME_ONCE if request_count <= 1 else MIN_IDLE_TIME)
 
     def may_end_with_response(self, available: int, request_count: int) -> bool:
         """Return whether an open connection ends with a response, after this number of requests.
--- a/linenbridge/process/gateway.py
+++ b/linenbridge/process/gateway.py
@@ -61,6 +61,7 @@
         self.log.counters(
             open=components.loop.unanswered,
             clients=components.clients.descriptors.open,
+            **components.clients.waiting_counts(),
             upstream=components.instances.descriptors.open,
         )
 
