--- a/linenbridge/net/upstream.py
+++ b/linenbridge/net/upstream.py
@@ -14,8 +14,6 @@
 from itertools import count
 from typing import Any, NamedTuple
 
-from twisted.internet.protocol import ClientCreator
-
 from linenbridge.interface import EndpointEntry, Id, InstanceState, Outcome
 from linenbridge.logging.event_log import Log
 from linenbridge.net import resp
@@ -28,7 +26,7 @@
 )
 from linenbridge.net.descriptors import Descriptors
 from linenbridge.net.load_reports import load_report
-from linenbridge.net.upstream_connection import Attempt, Connection, ConnectionPool
+from linenbridge.net.upstream_connection import Attempt, Connection, ConnectionFactory, ConnectionPool
 
 ERROR_LINE = re.compile(rb"(BUSY|ERR|SYNTAX|NOPERM)( [ -~]*)?")  # PROTOCOL, Gateways to instances
 REST_AFTER_RESPONSE = 20_000  # microseconds; a duplicate response may arrive that late (STANDING, join+mass)
@@ -267,25 +265,21 @@
             return
         pool.connecting += 1
         self.log.count("upstream.opened")
-        connection = Connection(self, pool)
-        connecting = ClientCreator(self.reactor, lambda: connection).connectTCP(
-            *pool.address, timeout=self.connect_timeout
-        )
-        connecting.addCallbacks(self._on_connected, lambda _failure: self._on_connect_failed(pool))
-        connecting.addErrback(lambda failure: self.log.failed("connecting", failure.value))
+        factory = ConnectionFactory(Connection(self, pool))
+        host, port = pool.address
+        self.reactor.connectTCP(host, port, factory, self.connect_timeout, None)
 
-    def _on_connected(self, connection: Connection) -> None:
+    def on_connected(self, connection: Connection) -> None:
+        """Use a connection that has been established."""
         connection.pool.connecting -= 1
-        if connection.is_lost:
-            self._fail_unserved(connection.pool)
-        else:
-            self.release(connection)
+        self.release(connection)
 
-    def _on_connect_failed(self, pool: ConnectionPool) -> None:
-        pool.connecting -= 1
+    def on_connect_failed(self, connection: Connection) -> None:
+        """Release the descriptor of a connection that could not be established."""
+        connection.pool.connecting -= 1
         self.descriptors.release()
         self.log.count("upstream.failed")
-        self._fail_unserved(pool)
+        self._fail_unserved(connection.pool)
 
     def _fail_unserved(self, pool: ConnectionPool) -> None:
         """End the waiting attempts for which no connection is being opened; they were never sent."""
--- a/linenbridge/net/upstream_connection.py
+++ b/linenbridge/net/upstream_connection.py
@@ -55,6 +55,12 @@
 class ConnectionOwner(Protocol):
     """Receives the events of connections."""
 
+    def on_connected(self, connection: Connection) -> None:
+        """Use a connection that has been established."""
+
+    def on_connect_failed(self, connection: Connection) -> None:
+        """Handle that a connection could not be established."""
+
     def on_response(self, connection: Connection, attempt: Attempt, message: resp.Value) -> None:
         """End an attempt with its response; raises MalformedError if `message` is not a valid response."""
 
@@ -84,8 +90,9 @@
         self.is_used = False
 
     def connectionMade(self) -> None:
-        """Disable the delay of small writes."""
+        """Disable the delay of small writes, and report the connection to the owner."""
         self.transport.setTcpNoDelay(True)
+        self.owner.on_connected(self)
 
     def dataReceived(self, data: bytes) -> None:
         """Handle the response to the attempt in flight.
@@ -109,3 +116,20 @@
     def connectionLost(self, reason: Any = None) -> None:  # noqa: ARG002  # Twisted's signature
         """Report the close to the owner."""
         self.owner.on_lost(self)
+
+
+class ConnectionFactory(protocol.ClientFactory):
+    """Opens one connection."""
+
+    noisy = False
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> Connection:  # noqa: ARG002  # Twisted's signature
+        """Return the connection that has been established."""
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:  # noqa: ARG002  # Twisted's signature
+        """Report the failure to the owner."""
+        self.connection.owner.on_connect_failed(self.connection)
--- a/linenbridge/policy/connection_admission.py
+++ b/linenbridge/policy/connection_admission.py
@@ -35,7 +35,7 @@
         return staying >= self.pool - ACCEPT_BATCH or self.is_short(available)
 
     def refuses(self, available: int) -> bool:
-        """Return whether the first request of a surplus connection is refused; it holds a descriptor itself."""
+        """Return whether a surplus connection, which holds a descriptor itself, is refused its request."""
         return available < self.refusing
 
     def may_end_unasked(self, idle_time: int, request_count: int) -> bool:
