--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -22,6 +22,7 @@
 from linenbridge.net.descriptors import Descriptors
 from linenbridge.net.listener import Listener
 
+BACKLOG = 4_096  # connections; the system's usual limit, as a client that finds the queue full waits 1 s
 LAST_CONNECTIONS = 0.4 + 0.05  # seconds from SIGTERM to the last new connections; PROTOCOL, Figures and rules
 LAST_COMMANDS = 0.7  # seconds from SIGTERM to the last commands that are forwarded; PROTOCOL, Figures
 CLOSE_TIME = 0.05  # seconds at the end of a stop in which clients close their connections
@@ -101,7 +102,7 @@
 
     def listen(self, reactor: Any, host: str, port: int) -> None:
         """Start to listen; raises Twisted's CannotListenError if the address can't be used."""
-        listener = Listener(reactor, self, host, port, backlog=self.descriptors.limit)
+        listener = Listener(reactor, self, host, port, backlog=BACKLOG)
         listener.startListening()
         self.port = listener
 
