--- a/linenbridge/net/upstream.py
+++ b/linenbridge/net/upstream.py
@@ -265,9 +265,13 @@
             return
         pool.connecting += 1
         self.log.count("upstream.opened")
-        factory = ConnectionFactory(Connection(self, pool))
+        connection = Connection(self, pool)
         host, port = pool.address
-        self.reactor.connectTCP(host, port, factory, self.connect_timeout, None)
+        try:
+            self.reactor.connectTCP(host, port, ConnectionFactory(connection), self.connect_timeout, None)
+        except OSError as error:
+            self.log.failed("connecting", error)
+            self.on_connect_failed(connection)
 
     def on_connected(self, connection: Connection) -> None:
         """Use a connection that has been established."""
