--- a/linenbridge/net/client_connection.py
+++ b/linenbridge/net/client_connection.py
@@ -18,7 +18,8 @@
 from linenbridge.logging.event_log import Log
 from linenbridge.net import resp
 from linenbridge.net.commands import InvalidCommandError
-from linenbridge.net.decision_loop import REJECTED, ActiveRequest, watch_for_close, write_immediately
+from linenbridge.net.decision_loop import REJECTED, ActiveRequest
+from linenbridge.net.sockets import watch_for_close, write_immediately
 
 Buffers = Sequence[bytes | memoryview]
 MICROSECONDS_PER_MILLISECOND = 1_000
--- a/linenbridge/net/client_transport.py
+++ b/linenbridge/net/client_transport.py
@@ -7,27 +7,15 @@
 
 import array
 import fcntl
-import socket
 import termios
 from contextlib import suppress
-from socket import MSG_MORE, MSG_PEEK, SHUT_WR
+from socket import MSG_MORE, SHUT_WR
 
 from twisted.internet import tcp
 from twisted.internet.main import CONNECTION_DONE
 from twisted.python.failure import Failure
 
-
-# States of a socket whose peer has closed, as TCP_INFO names them in its first byte (linux/tcp.h).
-TIME_WAIT, CLOSED, CLOSE_WAIT, LAST_ACK, CLOSING = 6, 7, 8, 9, 11
-PEER_CLOSED = frozenset({TIME_WAIT, CLOSED, CLOSE_WAIT, LAST_ACK, CLOSING})
-
-
-def has_peer_closed(connection: socket.socket) -> bool:
-    """Return whether the peer of a connection has closed it, whatever is unread before the end."""
-    try:
-        return connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in PEER_CLOSED
-    except OSError:
-        return False
+from linenbridge.net import sockets
 
 
 class ClientTransport(tcp.Server):
@@ -39,13 +27,7 @@
 
     def has_unread(self) -> bool:
         """Return whether there is something to read: bytes, the end of the stream, or an error."""
-        try:
-            self.socket.recv(1, MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        return sockets.has_unread(self.socket)
 
     def undelivered(self) -> int:
         """Return how many bytes the client's system has not received yet."""
@@ -57,7 +39,7 @@
 
     def has_peer_closed(self) -> bool:
         """Return whether the client has closed its connection, whatever is unread before the end."""
-        return has_peer_closed(self.socket)
+        return sockets.has_peer_closed(self.socket)
 
     def send_last(self, data: bytes) -> None:
         """Send the last data and end the sending side.
--- a/linenbridge/net/decision_loop.py
+++ b/linenbridge/net/decision_loop.py
@@ -9,13 +9,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
-from socket import MSG_PEEK, SHUT_WR
 from typing import Any, Protocol
 
-from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
-
 from linenbridge.decisions import (
     CancelAttempt,
     CastVote,
@@ -280,63 +276,3 @@
                 now, request.id, attempt, outcome, final, now - sent_at, load
             )
         )
-
-
-def has_nothing_unread(transport: Any) -> bool:
-    """Return whether a connection has nothing to read: neither bytes nor the end of the stream."""
-    try:
-        transport.socket.recv(1, MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        pass
-    return False
-
-
-def watch_for_close(transport: Any) -> None:
-    """Stop reading from a connection, but detect when the other side closes it.
-
-    Unread bytes stay in the socket and hide the end of the stream behind them, so a caller that waits for the
-    close has to limit that wait.
-    """
-
-    def check_for_close() -> Any:
-        try:
-            if not transport.socket.recv(1, MSG_PEEK):
-                return CONNECTION_DONE
-        except BlockingIOError:
-            return None
-        except OSError:
-            return CONNECTION_LOST
-        transport.stopReading()
-        return None
-
-    transport.doRead = check_for_close
-
-
-def shut_down_sending(transport: Any) -> None:
-    """Shut down the sending side at once, without waiting for the reactor's next iteration."""
-    with suppress(OSError):
-        transport.socket.shutdown(SHUT_WR)
-
-
-def read_remaining(transport: Any) -> None:
-    """Read the unread bytes of a connection that is about to be closed."""
-    if transport.connected:
-        transport.doRead()
-
-
-def write_immediately(transport: Any, data: bytes) -> bool:
-    """Write to the socket at once if no earlier data is queued, and leave the rest to the reactor.
-
-    This saves each message the wait for the next iteration and two system calls. Returns True if all bytes
-    have been written.
-    """
-    if transport.dataBuffer or transport._tempDataBuffer or not transport.connected:  # noqa: SLF001  # Twisted has no public name for these
-        transport.write(data)
-        return False
-    sent = transport.writeSomeData(data)
-    if isinstance(sent, int) and sent == len(data):
-        return True
-    transport.write(data[sent:] if isinstance(sent, int) and sent > 0 else data)
-    return False
--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -148,6 +148,7 @@
         request = ActiveRequest(
             command.rpc_id, command.method.name, self.instances, command.forwarded, response.respond
         )
+        self._update_surplus(response.client)
         if (reason := self._reason_to_refuse(response.client)) is not None:
             self.loop.refuse(request, reason)
             return
@@ -159,11 +160,13 @@
         is_behind = len(client.pending) > 1  # The command's own response is the last one.
         if self.is_past_stop_time or (self.is_refusing and is_behind):
             return "stopping"
+        return "connections" if client.is_surplus else None
+
+    def _update_surplus(self, client: Client) -> None:
+        """Serve a surplus connection as any other if descriptors are available again, or else end it."""
         client.is_surplus = client.is_surplus and self.admission.refuses(self.descriptors.available())
         if client.is_surplus:
             client.end_with_response()
-            return "connections"
-        return None
 
     def on_client_disconnected(self, request: ActiveRequest) -> None:
         """End a request whose client has disconnected."""
--- a/linenbridge/net/listener.py
+++ b/linenbridge/net/listener.py
@@ -11,9 +11,10 @@
 from twisted.python.failure import Failure
 
 from linenbridge.logging.event_log import Log
-from linenbridge.net.client_transport import ClientTransport, has_peer_closed
+from linenbridge.net.client_transport import ClientTransport
+from linenbridge.net.sockets import has_peer_closed
 
-ACCEPT_BATCH = 1_024  # connections accepted before other sockets are served; most may have been left
+MAX_ACCEPTED = 1_024  # connections accepted before other sockets are served; most may have been left
 ACCEPT_RETRY = 0.02  # seconds after the system had no resources for a connection
 EXHAUSTED = {EMFILE, ENFILE, ENOBUFS, ENOMEM}  # errors that last; all others are those of one connection
 
@@ -51,7 +52,7 @@
 
         A connection that its client has left is closed at once: in an overload most of the queue are such.
         """
-        for _ in range(ACCEPT_BATCH):
+        for _ in range(MAX_ACCEPTED):
             if not self.factory.has_room():
                 self._pause()
                 return False
--- a/linenbridge/net/upstream.py
+++ b/linenbridge/net/upstream.py
@@ -17,15 +17,10 @@
 from linenbridge.interface import EndpointEntry, Id, InstanceState, Outcome
 from linenbridge.logging.event_log import Log
 from linenbridge.net import resp
-from linenbridge.net.decision_loop import (
-    ActiveRequest,
-    DecisionLoop,
-    has_nothing_unread,
-    shut_down_sending,
-    write_immediately,
-)
+from linenbridge.net.decision_loop import ActiveRequest, DecisionLoop
 from linenbridge.net.descriptors import Descriptors
 from linenbridge.net.load_reports import load_report
+from linenbridge.net.sockets import has_unread, shut_down_sending, write_immediately
 from linenbridge.net.upstream_connection import Attempt, Connection, ConnectionFactory, ConnectionPool
 
 ERROR_LINE = re.compile(rb"(BUSY|ERR|SYNTAX|NOPERM)( [ -~]*)?")  # PROTOCOL, Gateways to instances
@@ -235,7 +230,7 @@
         """
         while pool.idle and pool.idle[0].idle_since + REST_AFTER_RESPONSE <= now:
             connection = pool.idle.popleft()
-            if has_nothing_unread(connection.transport):
+            if not has_unread(connection.transport.socket):
                 return connection
             self.log.count("upstream.unusable")
             self._close(connection)
@@ -300,7 +295,7 @@
         is_current = (
             connection.process_identity == pool.process_identity() and pool.entry.state == InstanceState.READY
         )
-        if not is_current or not (connection.is_used or has_nothing_unread(connection.transport)):
+        if not is_current or (not connection.is_used and has_unread(connection.transport.socket)):
             self._close(connection)
             self._fail_unserved(pool)
         elif pool.waiting and not connection.is_used:
--- a/linenbridge/net/watch_stream.py
+++ b/linenbridge/net/watch_stream.py
@@ -17,7 +17,7 @@
 
 from linenbridge.logging.event_log import Log
 from linenbridge.net import http
-from linenbridge.net.decision_loop import read_remaining
+from linenbridge.net.sockets import read_remaining
 from linenbridge.net.resp import MalformedError
 
 HTTP_OK = 200
--- a/tests/net/test_picks.py
+++ b/tests/net/test_picks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 
 import pytest
@@ -347,3 +348,15 @@
     harness.decide(SendAttempt("id1", "s-1", 500_000))
     harness.advance(0.2)
     assert b"d=300" in harness.connect_next().take_output()
+
+
+def test_an_attempt_whose_connection_the_system_refuses_to_open_ends_and_releases_its_descriptor(harness):
+    def no_socket(*_arguments: object) -> None:
+        raise OSError(errno.ENOBUFS, "no buffer space")
+
+    harness.reactor.connectTCP = no_socket
+    harness.send_request(harness.connect_client(), "id1")
+    harness.decide(SendAttempt("id1", "s-1", 900_000))
+    harness.advance()
+    assert harness.outcomes() == [("id1", 0, Outcome.CONNECT_FAILED)]
+    assert harness.instances.descriptors.open == 0
