--- a/tests/net/loopback.py
+++ b/tests/net/loopback.py
@@ -154,7 +154,7 @@
         limits: dict | None = None,
         **permissions: object,
     ) -> None:
-        # Bound for as long as the gateway runs, so that no other connection is given the port before it listens.
+        # Stays bound, so that no other connection is given the port before the gateway listens.
         self.reservation = socket.socket()
         self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.reservation.bind(("127.0.0.1", 0))
