--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Two of three acceptors are killed and started anew, with their stores; the holder of the lease goes on."""
+"""The three acceptors are killed and started anew, with their stores; the holder of the lease goes on."""
 
 from __future__ import annotations
 
@@ -8,13 +8,14 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from standins.case import LOOPBACK, Case, CannotRunError, play
+from standins.case import LOOPBACK, Case, play
 
-MEMBERS = ["g1", "g2", "g3", "g4", "g5", "g6"]
-ACCEPTORS = ["g1", "g2", "g3"]
-LEASE, BEAT = 10.0, 3.0  # seconds
-ROUNDS = 12
-WATCHED = 4.5  # seconds after each restart
+ACCEPTORS = ["g1", "g2", "g3"]  # quorum-only members: they have no task
+GATEWAYS = ["g4", "g5", "g6", "g7", "g8", "g9"]
+MEMBERS = ACCEPTORS + GATEWAYS
+LEASE, BEAT = 10.0, 2.0  # seconds; the defaults of the settings
+ROUNDS = 9
+WATCHED = 5.0  # seconds after each restart
 UNDER_WAY = 0.5  # seconds that an action may have been under way
 RECENT = 1.0  # seconds
 
@@ -86,12 +87,12 @@
         if other != member
     )
     acceptors = "".join(f'<acceptor name="{name}"/>' for name in ACCEPTORS)
+    task = f'<task name="sweep" act="{LOOPBACK}:{act}" every="200ms"/>' if member in GATEWAYS else ""
     (case.work / f"{member}.xml").write_text(
         f'<linenbridge xmlns="urn:linenbridge:premises:1"><fleet member="{member}" '
         f'listen="{LOOPBACK}:{ports[member]}" store="{case.work}/{member}.db" store-never-goes-back="true" '
         f'lease="{LEASE:.0f}s" longest="{LEASE:.0f}s" beat="{BEAT:.0f}s">{others}'
-        f'<quorum generation="1">{acceptors}</quorum>'
-        f'<task name="sweep" act="{LOOPBACK}:{act}" every="200ms"/></fleet></linenbridge>'
+        f'<quorum generation="1">{acceptors}</quorum>{task}</fleet></linenbridge>'
     )
 
 
@@ -107,16 +108,12 @@
     await case.wait_for("a member acts", resource.holder, 40.0)
     for _ in range(ROUNDS):
         # The holder has held for a while: its lease has been renewed at all acceptors.
-        await asyncio.sleep(BEAT)
+        await asyncio.sleep(1.5 * BEAT)
         await case.wait_for("a member acts", resource.holder, 20.0)
-        holder = resource.holder()
-        if not holder:
-            raise CannotRunError("nobody acts")
-        restarted = [name for name in ACCEPTORS if name != holder][:2]
         if case.trouble:
-            for name in restarted:
+            for name in ACCEPTORS:
                 case.signal(name, signal.SIGKILL)
-            for name in restarted:
+            for name in ACCEPTORS:
                 case.start(name, "serve", "--settings", f"{case.work}/{name}.xml")
         await asyncio.sleep(WATCHED)
         if resource.stale():
