--- a/linenbridge/fleet/leases/acceptor.py
+++ b/linenbridge/fleet/leases/acceptor.py
@@ -40,7 +40,7 @@
 from linenbridge.fleet.leases.recovery import Recovery, StoreRestored
 from linenbridge.fleet.leases.request_limits import is_within_limits
 from linenbridge.fleet.leases.stored_state import AcceptorFacts, StoredState
-from linenbridge.fleet.leases.timing import LeaseTiming, queue_timeout, remaining_with_drift
+from linenbridge.fleet.leases.timing import LeaseTiming, queue_timeout, remaining_with_drift, restart_wait
 
 
 @dataclass(slots=True)
@@ -70,9 +70,10 @@
     ) -> None:
         """Load the stored state, and start a recovery if records may have been lost.
 
-        A `trusted` store can't have been restored from an older copy, so that its acceptor does not wait
-        after a restart. No term below `first_term` is granted. `incarnation` differs for each start of the
-        process.
+        A `trusted` store can't have been restored from an older copy, so that its acceptor grants free slots
+        and renews leases at once after a restart. The store has no ends of leases: a slot whose stored lease
+        was not given back stays its holder's for the longest lease from `now`. No term below `first_term` is
+        granted. `incarnation` differs for each start of the process.
         """
         self.name = name
         self.quorum = quorum
@@ -84,9 +85,11 @@
         self.store_error = ""
         self.revisions: dict[str, int] = {}  # the newest of each other acceptor, by name
         self._decisions = deque[AcceptorDecision]()
-        for record in stored.records:
-            self.granted_leases.merge(record, now)
         longest = timing._replace(max_lease=max(timing.max_lease, stored.facts.max_lease))
+        # An acceptor that does not trust its store grants nothing before its stored leases have ended.
+        stored_leases_end_at = now + restart_wait(longest) if trusted else now
+        for record in stored.records:
+            self.granted_leases.merge(record, stored_leases_end_at)
         self.recovery = Recovery(
             name, quorum, longest, stored.facts, now, incarnation=incarnation, trusted=trusted
         )
--- a/tests/fleet/explore/mutants.py
+++ b/tests/fleet/explore/mutants.py
@@ -9,7 +9,7 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from linenbridge.fleet.leases import errors, lease_state, quorum, recovery
+from linenbridge.fleet.leases import acceptor, errors, lease_state, quorum, recovery
 from linenbridge.fleet.leases.acceptor import Acceptor
 from linenbridge.fleet.leases.granted_leases import GrantedLeases
 from linenbridge.fleet.leases.lease_state import LeasePhase, LeaseState
@@ -102,6 +102,13 @@
         yield
 
 
+@contextmanager
+def stored_leases_expired() -> Iterator[None]:
+    """A restarted acceptor takes the leases in its store as expired."""
+    with patch.object(acceptor, "restart_wait", lambda timing: 0):
+        yield
+
+
 @contextmanager
 def records_not_merged() -> Iterator[None]:
     """A recovering acceptor does not merge the records of the other acceptors."""
@@ -143,6 +150,7 @@
         older_term_granted,
         no_wait_after_restart,
         recovery_without_replies,
+        stored_leases_expired,
         records_not_merged,
         quorum_changed_without_recovery,
         generation_not_checked,
--- a/tests/fleet/explore/schedules.py
+++ b/tests/fleet/explore/schedules.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from linenbridge.fleet.leases.quorum import Quorum
-from tests.fleet.explore.leases import THREE_ACCEPTORS, Scenario
+from tests.fleet.explore.leases import FAST_RATE, THREE_ACCEPTORS, Scenario
 
 FIVE_ACCEPTORS = (*THREE_ACCEPTORS, "d", "e")
 GROWING_QUORUMS = (
@@ -84,6 +84,11 @@
 BLOCKED_SENDER = (Scenario(ticks=30), ["block_outbound x at 3"])
 # x is paused until after its lease has expired.
 PAUSED_HOLDER = (Scenario(ticks=40), ["pause 12 x at 18"])
+# x holds the task; two acceptors restart with their stores, and y's next request comes before x's renewal.
+TRUSTED_STORES = (
+    Scenario(ticks=40, rates=(("y", FAST_RATE),), trusted_stores=True),
+    ["restart c at 21", "restart b at 21"],
+)
 MUTANT_SCHEDULES = {
     "lease_counted_from_reply": LATE_RECEIVER,
     "clock_drift_ignored": BLOCKED_SENDER,
@@ -96,6 +101,7 @@
     "older_term_granted": (Scenario(ticks=40), ["release x at 26"]),
     "recovery_without_replies": (Scenario(ticks=40), ["restart_empty c at 26", "restart_empty b at 26"]),
     "no_wait_after_restart": RECORDS_LOST_DURING_A_REQUEST,
+    "stored_leases_expired": TRUSTED_STORES,
     "records_not_merged": TERM_AFTER_LOST_RECORDS,
     "quorum_changed_without_recovery": QUORUM_SKIPS_GENERATIONS,
     "generation_not_checked": PROPOSER_WITH_FIRST_QUORUM,
--- a/tests/fleet/explore/test_leases.py
+++ b/tests/fleet/explore/test_leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from tests.fleet.explore.leases import FAST_RATE, SLOW_RATE, LeaseWorld, Scenario
@@ -10,11 +12,16 @@
 from tests.exploration.search import replay, search, random_walks
 
 SLOW_ACCEPTORS = (("x", FAST_RATE), ("y", FAST_RATE), ("a", SLOW_RATE), ("b", SLOW_RATE), ("c", SLOW_RATE))
+TRUSTED_RESTARTS = Scenario(
+    2, ticks=24, rates=(("y", FAST_RATE),), faults=("restart",), trusted_stores=True
+)  # y sends at another interval than the holder, so that either may come first after a restart
 COMPLETE_SEARCHES = {
     "any one fault, fast acceptors": Scenario(1, ticks=24),
     "any one fault, fast proposers": Scenario(1, ticks=24, rates=SLOW_ACCEPTORS),
     "any one fault, two slots": Scenario(1, ticks=24, slots=2),
     "any two faults at the start": Scenario(2, ticks=2),
+    # Guards against slots that count as free once acceptors with trusted stores have restarted.
+    "any two restarts with trusted stores": TRUSTED_RESTARTS,
 }
 
 
@@ -45,6 +52,32 @@
     assert found.breach is None
 
 
+def test_no_random_walk_with_restarts_of_trusted_stores_breaches_a_guarantee():
+    """Guards against slots that count as free after restarts, also while proposers are replaced."""
+    faults = ("restart", "new_proposer", "release")
+    scenario = replace(TRUSTED_RESTARTS, deviations=14, ticks=60, faults=faults)
+    found = random_walks(lambda: LeaseWorld(scenario), 400, seed=5, deviation_probability=0.12)
+    print(found.line("walks with restarts of trusted stores"))
+    assert found.breach is None
+
+
+def test_the_holder_acts_on_while_all_acceptors_with_trusted_stores_restart():
+    world = LeaseWorld(replace(TRUSTED_RESTARTS, deviations=3, ticks=60))
+    pending = ["restart a at 26", "restart b at 26", "restart c at 26"]
+    holder = ""
+    while not world.over():
+        options = world.choices()
+        due = [choice for choice in pending if choice in options]
+        if due:
+            pending.remove(due[0])
+            holder = holder or world.newest_act[1].partition("#")[0]
+        world.take(due[0] if due else options[0])
+        if holder:
+            assert world.cores[holder].may_act(world.clocks[holder], "task") is not None, world.tick
+    assert not pending
+    assert world.newest_act[0] == 1
+
+
 def test_without_faults_a_member_holds_the_task_and_the_next_one_acquires_it_after_a_release():
     world = LeaseWorld(Scenario(ticks=40))
     release = "release x at 20"
