--- a/linenbridge/fleet/hosting/acceptor_host.py
+++ b/linenbridge/fleet/hosting/acceptor_host.py
@@ -1,11 +1,12 @@
 """Run a member's acceptor on the reactor; one thread writes its records to disk, in order.
 
-Owns the store and the thread. A message that depends on a record is passed on after the record is written; if
-the store fails, the acceptor grants nothing more.
+Owns the store and the thread. A message is passed on after all records that the acceptor had decided before
+it: the message may depend on any of them. If the store fails, the acceptor grants nothing more.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -28,8 +29,8 @@
 class AcceptorHost:
     """An acceptor with its store.
 
-    In the reactor's thread, `on_persisted(send)` is called with each message whose records are on disk, and
-    `on_store_failed()` after a write has failed.
+    In the reactor's thread, `on_persisted(send)` is called with each message once the records before it are
+    on disk, and `on_store_failed()` after a write has failed.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         )
         if failure:
             self.acceptor.on_store_failed(failure)
+        self._writes = deque[list[Send]]()  # for each write in progress, the messages that wait for it
         self.pool = ThreadPool(1, 1, "acceptor records")
         self.pool.start()
 
@@ -74,18 +76,30 @@
             self.log.event("store.failed", **error.fields())
             return str(error), without_records
 
+    def send(self, send: Send) -> None:
+        """Pass on a message, after the writes that are in progress."""
+        if self._writes:
+            self._writes[-1].append(send)
+        else:
+            self.on_persisted(send)
+
     def persist(self, decision: Persist) -> None:
         """Write the records, then pass on the message that depends on them."""
+        self._writes.append([] if decision.then is None else [decision.then])
         done = deferToThreadPool(
             self.reactor, self.pool, self.store.write, decision.records, self.acceptor.facts()
         )
-        done.addCallbacks(self._on_written, self._on_write_failed, callbackArgs=(decision.then,))
+        done.addCallbacks(self._on_written, self._on_write_failed)
 
-    def _on_written(self, _: None, then: Send | None) -> None:
-        if then is not None:
-            self.on_persisted(then)
+    def _on_written(self, _: None) -> None:
+        for send in self._writes.popleft():
+            self.on_persisted(send)
 
     def _on_write_failed(self, failure: Failure) -> None:
+        """Drop all messages that wait: they may depend on the records that were not written."""
+        self._writes.popleft()
+        for waiting in self._writes:
+            waiting.clear()
         self.acceptor.on_store_failed(failure.getErrorMessage())
         self.on_store_failed()
 
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -16,7 +16,6 @@
 from linenbridge.fleet.hosting.task_actions import ActiveLease, TaskActions
 from linenbridge.fleet.leases.acceptor import Acceptor
 from linenbridge.fleet.leases.decisions import (
-    AcceptorDecision,
     LeaseAcquired,
     LeaseLost,
     LogEvent,
@@ -183,11 +182,11 @@
         """Carry out all decisions that are due, then set the timer."""
         now = clock.now()
         machines: list[Proposer | Acceptor] = [self.proposer]
-        if self.acceptor is not None:
-            machines.append(self.acceptor)
-        for machine in machines:
-            while (decision := machine.next_decision(now)) is not None:
-                self._execute(decision)
+        while (decision := self.proposer.next_decision(now)) is not None:
+            self._execute(decision)
+        if self.acceptor_host is not None:
+            machines.append(self.acceptor_host.acceptor)
+            self._execute_acceptor(now, self.acceptor_host)
         wake_times = [machine.wake_at() for machine in machines]
         wake_at = min((at for at in wake_times if at is not None), default=None)
         if self.timer is not None and self.timer.active():
@@ -195,12 +194,21 @@
         if wake_at is not None:
             self.timer = self.reactor.callLater(max(MIN_WAIT, (wake_at - now) / 1e6), self.turn)
 
-    def _execute(self, decision: ProposerDecision | AcceptorDecision) -> None:
+    def _execute_acceptor(self, now: int, host: AcceptorHost) -> None:
+        """Carry out the acceptor's decisions."""
+        while (decision := host.acceptor.next_decision(now)) is not None:
+            match decision:
+                case Send():
+                    host.send(decision)
+                case Persist():
+                    host.persist(decision)
+                case LogEvent(name, fields):
+                    self.log.event(name, **fields)
+
+    def _execute(self, decision: ProposerDecision) -> None:
         match decision:
             case Send():
                 self._send(decision)
-            case Persist() if self.acceptor_host is not None:
-                self.acceptor_host.persist(decision)
             case LogEvent(name, fields):
                 self.log.event(name, **fields)
             case LeaseAcquired(task, slot, term):
--- a/linenbridge/fleet/leases/acceptor.py
+++ b/linenbridge/fleet/leases/acceptor.py
@@ -93,6 +93,8 @@
         self.recovery = Recovery(
             name, quorum, longest, stored.facts, now, incarnation=incarnation, trusted=trusted
         )
+        if self.recovery.done and longest.max_lease > stored.facts.max_lease:
+            self._persist([], None)  # before a lease of this length is granted
 
     # ---- inputs ----------------------------------------------------------------------------------------
 
