--- a/linenbridge/faults/deployment.py
+++ b/linenbridge/faults/deployment.py
@@ -78,7 +78,7 @@
             },
             "permissions": {
                 "max_attempts": 3,
-                "second_copies": False,
+                "second_copies": True,
                 "may_cancel": True,
                 "retry_after": True,
                 "max_retry_after": 1.0,
--- a/linenbridge/interface.py
+++ b/linenbridge/interface.py
@@ -163,11 +163,20 @@
         ...
 
     def on_request(
-        self, now: int, rpc_id: str, method: str, ttl: int, work: int | None, tenant: str, key: Id | None
+        self,
+        now: int,
+        rpc_id: str,
+        method: str,
+        ttl: int,
+        work: int | None,
+        tenant: str,
+        key: Id | None,
+        can_hedge: bool = True,
     ) -> None:
         """Admit a request whose deadline is `ttl` microseconds away.
 
-        `work` is the client's estimate of the request's work in microseconds.
+        `work` is the client's estimate of the request's work in microseconds. `can_hedge` is false if its
+        transport can't send an attempt while another one is in flight, nor cancel one.
         """
         ...
 
--- a/linenbridge/net/decision_loop.py
+++ b/linenbridge/net/decision_loop.py
@@ -31,7 +31,13 @@
 
 
 class AttemptTransport(Protocol):
-    """Sends attempts to instances, and reports their outcomes with `DecisionLoop.attempt_finished`."""
+    """Sends attempts to instances, and reports their outcomes with `DecisionLoop.attempt_finished`.
+
+    `can_hedge` is false if an attempt can't be sent while another one of its request is in flight, and can't
+    be cancelled.
+    """
+
+    can_hedge: bool
 
     def send(self, now: int, request: ActiveRequest, attempt: int, instance: Id, timeout: int) -> None:
         """Send an attempt, which fails if no response arrives within `timeout` microseconds."""
@@ -183,7 +189,7 @@
         self.log.count("accepted", request.method)
         self.enqueue(
             lambda now: self.decision_module.on_request(
-                now, request.id, request.method, ttl, work, tenant, key
+                now, request.id, request.method, ttl, work, tenant, key, request.transport.can_hedge
             )
         )
 
--- a/linenbridge/net/upstream.py
+++ b/linenbridge/net/upstream.py
@@ -43,6 +43,8 @@
     `connect_timeout` and `idle_timeout`, after which instances close idle connections, are in microseconds.
     """
 
+    can_hedge = True
+
     def __init__(
         self,
         loop: DecisionLoop,
--- a/linenbridge/policy/decision_module.py
+++ b/linenbridge/policy/decision_module.py
@@ -158,16 +158,27 @@
         self.polling.on_failure(now)
 
     def on_request(
-        self, now: int, rpc_id: str, method: str, ttl: int, work: int | None, tenant: str, key: Id | None
+        self,
+        now: int,
+        rpc_id: str,
+        method: str,
+        ttl: int,
+        work: int | None,
+        tenant: str,
+        key: Id | None,
+        can_hedge: bool = True,
     ) -> None:
-        """Admit a request whose deadline is `ttl` microseconds away; `work` is in microseconds too."""
+        """Admit a request whose deadline is `ttl` microseconds away; `work` is in microseconds too.
+
+        `can_hedge` is false if its attempts can only be sent one after the other.
+        """
         method_index = self.method_indices[method]
         cost = self.traffic.admit(method_index, work, RESPONSE_WEIGHT)
         weight = self.priorities.weight(now, method_index, tenant)
         self.balancer.on_request(now)
         deadline = now + ttl
         objective = min(now + self.methods[method_index].latency_objective, deadline)
-        request = Request(rpc_id, method_index, now, objective, deadline, cost, weight, key)
+        request = Request(rpc_id, method_index, now, objective, deadline, cost, weight, key, can_hedge)
         self.requests.add(request, max(now, deadline - FINAL_RESPONSE_MARGIN))
         self.dispatcher.enqueue(request)
 
--- a/linenbridge/policy/hedging.py
+++ b/linenbridge/policy/hedging.py
@@ -60,7 +60,7 @@
         """Eject silent instances, and hedge their requests and those whose response was lost.
 
         If hedging is not allowed but cancelling is, the attempt is cancelled and the request waits for its
-        next one.
+        next one. Requests whose transport can do neither are left out.
         """
         budget = self.budget.refill(self.traffic.total)
         suspected = self.outliers.eject_silent(now)
@@ -99,7 +99,9 @@
         return found
 
     def _may_repeat(self, request: Request) -> bool:
-        """Return whether the request has attempts left and its method may be repeated."""
+        """Return whether the request has attempts left, and its method and transport allow a second one."""
+        if not request.can_hedge:
+            return False
         return self.is_idempotent[request.method_index] and len(request.attempts) < self.max_attempts
 
     def _is_lost(self, request: Request, number: int) -> bool:
--- a/linenbridge/policy/safety_rules.py
+++ b/linenbridge/policy/safety_rules.py
@@ -30,7 +30,9 @@
         """Return whether the request may get a first or further attempt; checked before every attempt."""
         if not request.attempts:
             return True
-        if request.streaming or (not self.hedging_allowed and request.in_flight()):
+        if request.streaming:
+            return False
+        if request.in_flight() and not (self.hedging_allowed and request.can_hedge):
             return False
         if request.first_possible_execution() is None:
             return True
--- a/linenbridge/processor/external_processor.py
+++ b/linenbridge/processor/external_processor.py
@@ -43,6 +43,8 @@
 class ExternalProcessor:
     """The sessions of one gateway with proxies, and the decision loop's callbacks for their RPCs."""
 
+    can_hedge = False  # a proxy sends its next attempt when the last one has ended, and can't be interrupted
+
     def __init__(
         self,
         loop: DecisionLoop,
@@ -203,7 +205,8 @@
             now, peer.name, reservation.build, self.active[entry.id].method, entry.effect, outcome
         )
         may_be_retried = (
-            outcome != Outcome.OK
+            not entry.ended
+            and outcome != Outcome.OK
             and message.kind == MessageKind.RESPONSE_HEADERS
             and entry.attempt < peer.attempts
         )
@@ -390,6 +393,8 @@
             self._on_unreported(entry, reservation, entry.proxy)
         elif reason == ExpiryReason.NOT_RETRIED and (in_flight := entry.in_flight()) is not None:
             self._on_unreported(entry, in_flight, entry.proxy)
+        elif reservation is not None and entry.in_flight() is not None:
+            self._on_attempt_ended(entry, reservation, Outcome.NOT_SENT)
         elif entry.id not in self.awaiting_decision:
             self._abandon(entry)
 
--- a/linenbridge/processor/reservations.py
+++ b/linenbridge/processor/reservations.py
@@ -84,10 +84,10 @@
     ended: bool = False
 
     def _undecided(self, *, dispatched: bool) -> AttemptReservation | None:
-        if not self.reservations:
-            return None
-        last = self.reservations[-1]
-        return last if last.outcome is None and last.dispatched == dispatched else None
+        for reservation in reversed(self.reservations):
+            if reservation.outcome is None and reservation.dispatched == dispatched:
+                return reservation
+        return None
 
     def in_flight(self) -> AttemptReservation | None:
         """Return the dispatched reservation without an outcome, if any; there is at most one."""
--- a/linenbridge/state/requests.py
+++ b/linenbridge/state/requests.py
@@ -35,6 +35,7 @@
     cost: float  # in requests of mean work
     weight: float
     key: Id | None
+    can_hedge: bool = True  # whether its transport can send an attempt while another one is in flight
     attempts: list[Attempt] = field(default_factory=list)
     streaming: bool = False
     ended: bool = False
