--- a/linenbridge/processor/external_processor.py
+++ b/linenbridge/processor/external_processor.py
@@ -1,8 +1,8 @@
 """The external processor: turns streams of proxies into RPCs, and decisions into responses on these streams.
 
-Owns the sessions that wait for a decision or a retry. Acts as the transport of attempts: dispatches them to
-proxies and opens no connection to an instance. The decision module chooses the instance, and the reservation
-ledger admits the request. The id of a non-idempotent request is in the store before its reservation is sent.
+Acts as the transport of attempts: dispatches them to proxies and opens no connection to an instance. The
+decision module chooses the instance, and the reservation ledger admits the request. The id of a
+non-idempotent request is in the store before its reservation is sent.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 from linenbridge.processor.endpoints import EndpointDirectory
 from linenbridge.processor.evidence import Evidence
 from linenbridge.processor.expiry_timer import ExpiryTimer
+from linenbridge.processor.pending_responses import PendingResponses
 from linenbridge.processor.reservations import (
     Admission,
     AttemptReservation,
@@ -68,9 +69,9 @@
         self.pass_unrouted = pass_unrouted
         self.ids = DurableIds(ledger, store, loop.now, unix, loop.log)
         self.endpoints = EndpointDirectory()
-        # Keys are RPC ids: sessions whose request headers, or whose reported failures, have no response yet.
-        self.awaiting_decision: dict[str, StreamSession] = {}
-        self.awaiting_retry: dict[str, StreamSession] = {}
+        self.pending = PendingResponses(
+            response_format, {response_format.outcome: "again", response_format.again: "1"}
+        )
         self.active: dict[str, ActiveRequest] = {}
         self.dispatches = DispatchQueue(
             self.ids, self.endpoints, response_format, loop.now, loop.log, self._on_not_dispatched
@@ -137,7 +138,7 @@
         session.entry = entry
         active = ActiveRequest(entry.id, routed.method, self, entry, partial(self.answered, entry))
         self.active[entry.id] = active
-        self.awaiting_decision[entry.id] = session
+        self.pending.await_decision(entry, session)
         self.loop.accept(active, routed.deadline, routed.cost, routed.tenant, routed.key or "")
 
     def _retry(self, session: StreamSession, entry: RpcEntry) -> None:
@@ -148,12 +149,12 @@
         """
         now = self.loop.now()
         session.entry = entry
-        self.awaiting_decision[entry.id] = session
+        self.pending.await_decision(entry, session)
         if (reservation := entry.in_flight()) is not None:
             self._on_attempt_ended(entry, reservation, Outcome.CANCELLED)
         elif (reservation := entry.reserved()) is not None:
             if now < reservation.use_by and self.endpoints.find(reservation.instance) is not None:
-                del self.awaiting_decision[entry.id]
+                self.pending.take_for_dispatch(entry)
                 self.ledger.dispatch(entry, reservation)
                 self.dispatches.put(session, entry, reservation)
                 self.loop.enqueue(lambda _: None)  # triggers a turn, at whose end the queue is flushed
@@ -222,7 +223,7 @@
                 module_outcome=module_outcome,
             )
         if may_be_retried:
-            self.awaiting_retry[entry.id] = session
+            self.pending.await_retry(entry, session)
             self._on_attempt_ended(entry, reservation, module_outcome, load)
             self.ledger.await_retry(now, entry)
             return
@@ -245,11 +246,9 @@
         if entry is None or entry.ended:
             return
         now = self.loop.now()
-        if self.awaiting_retry.get(entry.id) is session:
-            del self.awaiting_retry[entry.id]
+        if self.pending.remove_report(entry, session):
             return
-        if self.awaiting_decision.get(entry.id) is session:
-            del self.awaiting_decision[entry.id]
+        if self.pending.remove_decision(entry, session):
             self._on_not_dispatched(session, entry)
         elif reservation is not None and entry.in_flight() is reservation:
             if entry.attempt < session.peer.attempts:
@@ -270,8 +269,7 @@
 
     def has_pending_response(self, session: StreamSession) -> bool:
         """Return whether the response to a report is delayed until the module's decision."""
-        entry = session.entry
-        return entry is not None and self.awaiting_retry.get(entry.id) is session
+        return self.pending.awaits_retry(session)
 
     # ---- callbacks of the loop -------------------------------------------------------------------
 
@@ -282,15 +280,12 @@
         if endpoint is None:
             self.loop.attempt_finished(active, number, now, Outcome.NOT_SENT, {})
             return
-        session = self.awaiting_decision.pop(entry.id, None)
+        session = self.pending.take_for_dispatch(entry)
         reservation = self.ledger.reserve(
             now, entry, number, instance, endpoint.build, timeout, dispatch=session is not None
         )
         if session is not None:
             self.dispatches.put(session, entry, reservation)
-        reporting = self.awaiting_retry.pop(entry.id, None)
-        if reporting is not None:
-            self._answer_report(reporting, {self.format.outcome: "again", self.format.again: "1"})
 
     def cancel(self, active: ActiveRequest, number: int) -> None:
         """Do nothing: a proxy's attempt cannot be cancelled, and its outcome is reported like any other."""
@@ -303,7 +298,7 @@
         now = self.loop.now()
         rejected = outcome == REJECTED
         outcome_header = {self.format.outcome: self.format.outcome_value(outcome)}
-        session = self.awaiting_decision.pop(entry.id, None)
+        session = self.pending.take_for_rejection(entry)
         if session is not None and rejected:
             text = "pushed back: trying again is harmless"
             session.reject(self.format.rejection(session.grpc, retry_after, text))
@@ -311,21 +306,11 @@
             late = bool(entry.reservations) and now >= entry.reservations[0].report_by - LATE_MARGIN
             status = self.format.timed_out if late else self.format.aborted
             session.reject(self.format.final_response(session.grpc, status, outcome_header, "aborted"))
-        reporting = self.awaiting_retry.pop(entry.id, None)
-        if reporting is not None:
-            retry_headers = (
-                {"retry-after": retry_after_seconds(retry_after)} if rejected and retry_after else {}
-            )
-            self._answer_report(reporting, outcome_header | retry_headers)
-        self._end_last_attempt(entry)
-        self._finish(now, entry, answered=not rejected)
-
-    def _end_last_attempt(self, entry: RpcEntry) -> None:
-        """End the attempt that is in flight, which has expired at the proxy as well, or the reserved one."""
-        if (reservation := entry.in_flight()) is not None:
+        retry_headers = {"retry-after": retry_after_seconds(retry_after)} if rejected and retry_after else {}
+        self.pending.answer_report(entry, outcome_header | retry_headers)
+        if (reservation := entry.in_flight()) is not None:  # it has expired at the proxy as well
             self._on_attempt_ended(entry, reservation, Outcome.CANCELLED)
-        elif (reservation := entry.reserved()) is not None:
-            self._on_attempt_ended(entry, reservation, Outcome.NOT_SENT)
+        self._finish(now, entry, answered=not rejected)
 
     def on_turn_end(self) -> None:
         """Send the queued reservations, and log the proxies that became distrusted."""
@@ -353,11 +338,8 @@
                 self.active.pop(entry.id, None)
 
     def _abandon(self, entry: RpcEntry) -> None:
-        """End an RPC whose client has left. An attempt that was not dispatched counts as not sent."""
+        """End an RPC whose client has left."""
         self.loop.client_disconnected(self.active[entry.id])
-        reservation = entry.reserved()
-        if reservation is not None:
-            self._on_attempt_ended(entry, reservation, Outcome.NOT_SENT)
         self._finish(self.loop.now(), entry, answered=False)
 
     def _on_unreported(self, entry: RpcEntry, reservation: AttemptReservation, proxy: str) -> None:
@@ -369,14 +351,17 @@
         self._finish(self.loop.now(), entry, answered=False)
 
     def _finish(self, now: int, entry: RpcEntry, *, answered: bool) -> None:
-        """End an RPC, and respond to the streams that still wait for it. Every RPC ends here."""
+        """End an RPC, and respond to the streams that still wait for it. Every RPC ends here.
+
+        An attempt that was not dispatched counts as not sent.
+        """
         if entry.ended:
             return
+        if (reservation := entry.reserved()) is not None:
+            self._on_attempt_ended(entry, reservation, Outcome.NOT_SENT)
         self.ledger.finish(now, entry, answered=answered)
-        if (session := self.awaiting_decision.pop(entry.id, None)) is not None:
-            session.reject(self.format.final_response(session.grpc, self.format.aborted, {}, "aborted"))
-        if (reporting := self.awaiting_retry.pop(entry.id, None)) is not None:
-            self._answer_report(reporting, {})
+        self.pending.reject(entry, "aborted")
+        self.pending.answer_report(entry, {})
         if not self.active[entry.id].in_flight:
             del self.active[entry.id]
         if (
@@ -395,14 +380,5 @@
             self._on_unreported(entry, in_flight, entry.proxy)
         elif reservation is not None and entry.in_flight() is not None:
             self._on_attempt_ended(entry, reservation, Outcome.NOT_SENT)
-        elif entry.id not in self.awaiting_decision:
+        elif not self.pending.awaits_decision(entry):
             self._abandon(entry)
-
-    # ---- responses -------------------------------------------------------------------------------
-
-    def _answer_report(self, session: StreamSession, headers: dict[str, str]) -> None:
-        """Let a failed response pass, with headers that carry the module's decision."""
-        session.release()
-        session.call.send(codec.continue_response(MessageKind.RESPONSE_HEADERS, headers))
-        if session.call.half_closed:
-            session.on_half_closed()
