--- a/linenbridge/fleet/hosting/acceptor_host.py
+++ b/linenbridge/fleet/hosting/acceptor_host.py
@@ -103,7 +103,12 @@
         self.acceptor.on_store_failed(failure.getErrorMessage())
         self.on_store_failed()
 
-    def close(self) -> None:
-        """Finish the writes that are queued, then close the store."""
-        self.pool.stop()
-        self.store.close()
+    def close(self, on_closed: Callable[[], None]) -> None:
+        """Finish the writes that are queued, close the store, then call `on_closed`.
+
+        The reactor does not wait for the disk meanwhile.
+        """
+        done = deferToThreadPool(self.reactor, self.pool, self.store.close)
+        done.addErrback(lambda failure: self.log.failed("closing the store", failure.value))
+        done.addCallback(lambda _: self.pool.stop())
+        done.addCallback(lambda _: on_closed())
--- a/linenbridge/fleet/hosting/member.py
+++ b/linenbridge/fleet/hosting/member.py
@@ -81,6 +81,7 @@
         self.timer: Any = None
         self.on_left: Callable[[], None] | None = None  # set once this member begins to leave
         self.has_left = False
+        self.is_closed = False
         if settings.is_acceptor():
             self._start_acceptor(now)
         self.connections = self._new_connections()
@@ -180,6 +181,8 @@
 
     def turn(self) -> None:
         """Carry out all decisions that are due, then set the timer."""
+        if self.is_closed:
+            return
         now = clock.now()
         machines: list[Proposer | Acceptor] = [self.proposer]
         while (decision := self.proposer.next_decision(now)) is not None:
@@ -229,6 +232,8 @@
 
     def update_settings(self, settings: FleetSettings) -> None:
         """Apply new settings: quorum, addresses and windows at once, all else at the next start."""
+        if self.has_left:
+            return
         now = clock.now()
         self.settings = settings
         self.proposer.on_quorum(now, settings.quorum)
@@ -244,10 +249,11 @@
         self.freezes.update(settings.windows)
         self.turn()
 
-    def leave(self, on_left: Callable[[], None]) -> None:
+    def leave(self, on_left: Callable[[], None], time_limit: int | None = None) -> None:
         """Wait for a slot of the task `restarts`, if configured, then give all leases back and close.
 
-        The wait is bounded by `restart_timeout`. `on_left()` is called once all is closed.
+        The wait is bounded by `restart_timeout`, and so that the member has left after `time_limit`
+        microseconds, if that is given. `on_left()` is called once all is closed.
         """
         if self.on_left is not None:
             return
@@ -257,9 +263,18 @@
             self._release_leases()
             return
         self.proposer.request_lease(clock.now(), RESTARTS_TASK, restarts.slots)
-        self.reactor.callLater(self.settings.restart_timeout / 1e6, self._release_leases)
+        timeout = self.settings.restart_timeout / 1e6
+        if time_limit is not None:
+            timeout = min(timeout, max(0.0, time_limit / 1e6 - CLOSE_DELAY))
+        self.reactor.callLater(timeout, self._on_restart_timeout, timeout)
         self.turn()
 
+    def _on_restart_timeout(self, waited: float) -> None:
+        """Leave without a slot of `restarts`; `waited` is in seconds."""
+        if not self.has_left:
+            self.log.event("restart.timed_out", waited=waited)
+            self._release_leases()
+
     def _release_leases(self) -> None:
         """Give back all leases except that of `restarts`, which expires, and close after `CLOSE_DELAY`."""
         if self.has_left:
@@ -275,12 +290,16 @@
         self.reactor.callLater(CLOSE_DELAY, self._close)
 
     def _close(self) -> None:
+        self.is_closed = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
         self.port.stopListening()
         self.connections.close()
-        if self.acceptor_host is not None:
-            self.acceptor_host.close()
-        if self.on_left is not None:
-            self.on_left()
+        on_left = self.on_left or (lambda: None)
+        if self.acceptor_host is None:
+            on_left()
+        else:
+            self.acceptor_host.close(on_left)
 
     def facts(self) -> dict[str, int]:
         """Return the fields of this member for the log line of counters."""
--- a/linenbridge/processor/server.py
+++ b/linenbridge/processor/server.py
@@ -23,6 +23,7 @@
 from linenbridge.process import lifecycle
 from linenbridge.process.components import build, reload
 from linenbridge.process.configuration import ProcessConfiguration
+from linenbridge.process.shutdown import Shutdown
 from linenbridge.processor import tls
 from linenbridge.processor.configuration import PeerDirectory, ProcessorSettings, processor_settings, routes
 from linenbridge.processor.evidence import Evidence
@@ -42,7 +43,7 @@
 
 PROCESS = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 HEALTH = b"/grpc.health.v1.Health/"
-STOP_MARGIN = 1.0  # seconds beyond the longest deadline that a planned stop waits for streams to end
+CLOSE_TIME = 0.1  # seconds after all RPCs have their responses, for connections and files to close
 
 
 class UnauthorizedStream:
@@ -148,14 +149,14 @@
         if self.tls_context is not None and (reload_error := self.tls_context.reload()) is not None:
             self.log.event("tls.reload.failed", error=reload_error)
 
-    def shut_down(self, stopped: Any) -> None:
-        """Stop accepting streams and let open ones end within the longest deadline; then call `stopped`."""
+    def shut_down(self, stopped: Any, time_limit: int) -> None:
+        """Stop accepting streams, let open ones end within `time_limit` microseconds, then call `stopped`."""
         if self.server is None:
             stopped()
             return
         self.health.set_serving(serving=False)
         self.server.port.stopListening()
-        self.server.drain(self.longest_deadline / 1e6 + STOP_MARGIN, partial(self._on_streams_ended, stopped))
+        self.server.drain(time_limit / 1e6, partial(self._on_streams_ended, stopped))
 
     def _on_streams_ended(self, stopped: Any) -> None:
         if self.processor is not None:
@@ -235,26 +236,20 @@
     log.event(
         "started", gateway=process_configuration.name, listen=process_configuration.listen if resp else ""
     )
-    running = {"processor"} | ({"resp"} if resp else set()) | ({"view"} if follower is not None else set())
-
-    def on_stopped(which: str) -> None:
-        running.discard(which)
-        if not running:
-            reactor.stop()
+    stop_time = parts.clients.stop_time
+    shutdown = Shutdown(reactor, log, stop_time / 1e6 + CLOSE_TIME)
+    shutdown.add("processor", partial(server.shut_down, time_limit=stop_time))
+    if resp:
+        shutdown.add("resp", partial(parts.clients.stop, reactor))
+    if follower is not None:
+        shutdown.add("view", follower.close)
+    if member is not None:
+        shutdown.add("fleet", partial(member.leave, time_limit=stop_time))
 
     def stop() -> None:
-        log.event("stopping", open=parts.loop.unanswered)
-        if member is None:
-            stop_components()
-        else:
-            member.leave(stop_components)
-
-    def stop_components() -> None:
-        server.shut_down(partial(on_stopped, "processor"))
-        if resp:
-            parts.clients.stop(reactor, partial(on_stopped, "resp"))
-        if follower is not None:
-            follower.close(partial(on_stopped, "view"))
+        if not shutdown.has_begun:
+            log.event("stopping", open=parts.loop.unanswered)
+            shutdown.begin()
 
     def counters() -> None:
         log.counters(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,6 +31,7 @@
     "tests/net/test_ends.py": "gateway",
     "tests/net/test_process.py": "gateway",
     "tests/net/test_clock.py": "gateway",
+    "tests/net/test_serve_stops.py": "gateway",
     "tests/net/test_soak.py": "gateway",
     "tests/net/test_starts.py": "gateway",
     "tests/test_configuration.py": "processor",
