--- a/linenbridge/processor/server.py
+++ b/linenbridge/processor/server.py
@@ -44,6 +44,7 @@
 PROCESS = b"/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 HEALTH = b"/grpc.health.v1.Health/"
 CLOSE_TIME = 0.1  # seconds after all RPCs have their responses, for connections and files to close
+EXIT_TIME = 250_000  # microseconds of the stop's time in which a process without open RPCs exits
 
 
 class UnauthorizedStream:
@@ -244,7 +245,7 @@
     if follower is not None:
         shutdown.add("view", follower.close)
     if member is not None:
-        shutdown.add("fleet", partial(member.leave, time_limit=stop_time))
+        shutdown.add("fleet", partial(member.leave, time_limit=stop_time - EXIT_TIME))
 
     def stop() -> None:
         if not shutdown.has_begun:
--- a/tests/net/test_serve_stops.py
+++ b/tests/net/test_serve_stops.py
@@ -10,7 +10,7 @@
 import h2.connection
 import pytest
 
-from tests.net.loopback import GatewayProcess, request_command, value_reply
+from tests.net.loopback import STEP_TIMEOUT, GatewayProcess, request_command, value_reply
 from tests.peer_script import request_headers_message
 
 MAX_DEADLINE = 2.0  # seconds; of the configuration's methods
@@ -59,6 +59,8 @@
         instance.send(value_reply(b"value"))
         assert client.read_to_end() == b"$5\r\nvalue\r\n"
         idle.read_to_end()
+        client.close()
+        idle.close()
         assert gateway.wait_for_exit() == 0
         assert time.monotonic() - stopped < KILLED_AFTER
 
@@ -86,5 +88,8 @@
             connection.sendall(proxy.data_to_send())
             time.sleep(0.2)
             stopped = gateway.signal(signal.SIGTERM)
-            assert gateway.wait_for_exit() == 0
-        assert time.monotonic() - stopped < KILLED_AFTER
+            connection.settimeout(STEP_TIMEOUT)
+            while connection.recv(1 << 16):
+                pass
+            assert time.monotonic() - stopped < KILLED_AFTER
+        assert gateway.wait_for_exit() == 0
