--- a/linenbridge/net/client_connection.py
+++ b/linenbridge/net/client_connection.py
@@ -8,8 +8,9 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from enum import IntEnum
+from itertools import chain
 from typing import Any, Protocol
 
 from twisted.internet import protocol
@@ -17,12 +18,14 @@
 from linenbridge.interface import Outcome
 from linenbridge.logging.event_log import Log
 from linenbridge.net import resp
+from linenbridge.net.command_backlog import CommandBacklog
 from linenbridge.net.commands import InvalidCommandError
 from linenbridge.net.decision_loop import REJECTED, ActiveRequest
 from linenbridge.net.sockets import watch_for_close, write_immediately
 
 Buffers = Sequence[bytes | memoryview]
 MICROSECONDS_PER_MILLISECOND = 1_000
+NO_COMMAND = object()  # no further command is complete
 
 
 class ConnectionState(IntEnum):
@@ -67,6 +70,13 @@
     """Receives the events of clients' connections."""
 
     log: Log
+    backlog: CommandBacklog
+
+    def may_handle(self, client: Client) -> bool:
+        """Return whether a connection's next command may be handled."""
+
+    def read_limit(self) -> int:
+        """Return how many of the commands that have just been read on a connection may be handled now."""
 
     def on_command(self, response: PendingResponse, arguments: Buffers) -> None:
         """Handle a complete command; raises InvalidCommandError if it is not a valid request."""
@@ -101,6 +111,7 @@
         self.is_surplus = is_surplus
         self.reader = resp.Reader(commands=True)
         self.pending: deque[PendingResponse] = deque()
+        self._commands: Iterator[Any] | None = None  # read and not handled yet, malformed bytes included
         self.state = ConnectionState.OPEN
         self.has_sent_command = False
         self.request_count = 0
@@ -119,21 +130,55 @@
         self.owner.on_waiting(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Handle all complete commands; a malformed one gets an error response and closes the connection."""
+        """Handle the first complete command, and as many more as have their turn."""
         if self.state >= ConnectionState.REJECTED:
             return
-        self.is_reading = True  # No response is sent before all commands in `data` are handled.
+        received = self.reader.feed(data)
+        self._commands = received if self._commands is None else chain(self._commands, received)
+        handled = self.handle_commands(self.owner.read_limit())
+        self.owner.backlog.spend(handled - 1)
+
+    def handle_commands(self, limit: int) -> int:
+        """Handle up to `limit` commands that have been read, and return how many were handled.
+
+        A malformed one gets an error response and closes the connection. While some are left, or too many
+        have no response yet, nothing is read.
+        """
+        if self._commands is None:
+            return 0
+        handled = 0
+        self.is_reading = True  # No response is sent before these commands are handled.
         try:
-            for arguments in self.reader.feed(data):
+            while handled < limit and self.owner.may_handle(self):
+                arguments = next(self._commands, NO_COMMAND)
+                if arguments is NO_COMMAND:
+                    self._commands = None
+                    break
+                handled += 1
                 self._on_command(arguments)
         except resp.MalformedError as error:
             self.owner.log.event_sampled("malformed", "client", error=str(error))
             self.is_reading = False
             self.reject(str(error))
-            return
+            return handled
         self.is_reading = False
-        self.owner.set_buffered(self, self.reader.size)
+        if self._commands is None:
+            self.owner.set_buffered(self, self.reader.size)
+        if self._commands is not None or not self.owner.may_handle(self):
+            self.owner.backlog.hold(self)
+        self._resume()
         self.flush()
+        return handled
+
+    def _resume(self) -> None:
+        """Handle the next commands of a held connection, or read them, if enough have their response."""
+        backlog = self.owner.backlog
+        if self not in backlog.held or not self.owner.may_handle(self):
+            return
+        if self._commands is None:
+            backlog.release(self)
+        else:
+            backlog.add(self)
 
     def _on_command(self, arguments: Any) -> None:
         response = PendingResponse(self)
@@ -155,6 +200,8 @@
         if self.state >= ConnectionState.REJECTED:
             return
         self.state = ConnectionState.REJECTED
+        self._commands = None
+        self.owner.backlog.release(self)
         self.reader = resp.Reader(commands=True)
         self.owner.set_buffered(self, 0)
         watch_for_close(self.transport)
@@ -173,7 +220,8 @@
 
     def is_at_rest(self) -> bool:
         """Return whether the connection is between two requests: nothing pending, incomplete or unread."""
-        return not (self.pending or self.is_reading or self.reader.size or self.transport.has_unread())
+        is_handling = self.is_reading or self._commands is not None
+        return not (self.pending or is_handling or self.reader.size or self.transport.has_unread())
 
     def flush(self) -> None:
         """Send all responses whose predecessors have been sent, in the order of the commands."""
@@ -182,6 +230,7 @@
         buffers: list[bytes | memoryview] = []
         while self.pending and self.pending[0].data is not None:
             buffers.extend(self.pending.popleft().data or ())
+        self._resume()
         if buffers:
             data = b"".join(buffers)
             if not self.pending and self._ends_with_response():
@@ -193,7 +242,7 @@
     def _ends_with_response(self) -> bool:
         if self.state >= ConnectionState.REJECTED:
             return self.state == ConnectionState.REJECTED
-        if self.reader.size:
+        if self.reader.size or self._commands is not None:
             return False
         if self.state == ConnectionState.OPEN and not self.owner.ends_with_response(self):
             return False
@@ -201,7 +250,7 @@
 
     def _settle(self) -> None:
         """End an ending connection that is at rest; report any other without a pending response."""
-        if self.pending or self.state >= ConnectionState.REJECTED:
+        if self.pending or self._commands is not None or self.state >= ConnectionState.REJECTED:
             return
         if self.state == ConnectionState.ENDING and self.has_sent_command and self.is_at_rest():
             self._send_last(b"")
@@ -230,4 +279,5 @@
                 response.request = None
                 self.owner.on_client_disconnected(request)
         self.pending.clear()
+        self._commands = None
         self.owner.on_closed(self)
--- a/linenbridge/net/client_transport.py
+++ b/linenbridge/net/client_transport.py
@@ -17,6 +17,8 @@
 
 from linenbridge.net import sockets
 
+READ_SIZE = 1 << 14  # bytes; of one read, which are kept until their commands have been handled
+
 
 class ClientTransport(tcp.Server):
     """An accepted socket.
@@ -25,6 +27,25 @@
     stream. A reset would look like the end of a command that has been read.
     """
 
+    bufferSize = READ_SIZE  # noqa: N815  # Twisted's name
+    is_read_held = False
+
+    def hold_reading(self) -> None:
+        """Read nothing until `release_reading`, whatever the producer does."""
+        self.is_read_held = True
+        self.stopReading()
+
+    def release_reading(self) -> None:
+        """Read again, unless the client does not read its responses."""
+        self.is_read_held = False
+        if self.connected and not self.disconnecting and not self.producerPaused:
+            self.startReading()
+
+    def resumeProducing(self) -> None:
+        """Twisted: read again, as the client has read its responses, unless reading is held."""
+        if not self.is_read_held:
+            super().resumeProducing()
+
     def has_unread(self) -> bool:
         """Return whether there is something to read: bytes, the end of the stream, or an error."""
         return sockets.has_unread(self.socket)
--- a/linenbridge/net/downstream.py
+++ b/linenbridge/net/downstream.py
@@ -8,15 +8,18 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
 from itertools import islice
-from typing import Any, Protocol
+from typing import Any
 
 from twisted.internet.protocol import Factory
 
 from linenbridge.interface import Method
 from linenbridge.logging.event_log import Log
+from linenbridge.net.admission import RoomAdmission, TurnAdmission
 from linenbridge.net.client_connection import Buffers, Client, ConnectionState, PendingResponse
+from linenbridge.net.command_backlog import CommandBacklog
 from linenbridge.net.commands import PING, command_name, parse_request
 from linenbridge.net.decision_loop import ActiveRequest, AttemptTransport, DecisionLoop
 from linenbridge.net.descriptors import Descriptors
@@ -31,28 +34,10 @@
 CHECK_INTERVAL = 100_000  # microseconds between two looks at lingering connections, or for room
 MAX_EXAMINED = 16  # connections of each group looked at for each new one
 MICROSECONDS_PER_SECOND = 1e6
+NO_LIMIT = sys.maxsize
 STOPPING = "the gateway is stopping"
 
 
-class Admission(Protocol):
-    """Decides which connections make room, and whose requests are refused."""
-
-    def is_short(self, available: int) -> bool:
-        """Return whether a batch of new connections would take all descriptors that are available."""
-
-    def needs_room(self, staying: int, available: int) -> bool:
-        """Return whether connections have to end."""
-
-    def refuses(self, available: int) -> bool:
-        """Return whether the requests of a new connection are refused."""
-
-    def may_end_unasked(self, idle_time: int, request_count: int) -> bool:
-        """Return whether a connection may end between two requests, after `idle_time` microseconds."""
-
-    def may_end_with_response(self, available: int, request_count: int) -> bool:
-        """Return whether an open connection ends with a response, after this number of requests."""
-
-
 class Clients(Factory):
     """All clients' connections of one gateway.
 
@@ -70,7 +55,8 @@
         stop_time: int,
         max_buffered: int,
         descriptors: Descriptors,
-        admission: Admission,
+        admission: RoomAdmission,
+        command_admission: TurnAdmission,
         log: Log,
     ) -> None:
         self.loop = loop
@@ -83,6 +69,8 @@
         self.buffered = 0
         self.descriptors = descriptors
         self.admission = admission
+        self.command_admission = command_admission
+        self.backlog = CommandBacklog(reactor, loop.enqueue, command_admission)
         self.log = log
         self.open: dict[Client, None] = {}
         # Connections without an open request, each group in the order of `waiting_since`: `silent` ones have
@@ -156,6 +144,16 @@
         ttl = command.ttl if self.stop_at is None else min(command.ttl, self.stop_at - self.loop.now())
         self.loop.accept(request, max(0, ttl), command.work, command.tenant, command.key)
 
+    def may_handle(self, client: Client) -> bool:
+        """Return whether a connection's next command may be handled; past the stop's time each is refused."""
+        return self.is_past_stop_time or self.command_admission.may_handle(
+            len(client.pending), self.loop.unanswered
+        )
+
+    def read_limit(self) -> int:
+        """Return how many of the commands that have just been read on a connection may be handled now."""
+        return NO_LIMIT if self.is_past_stop_time else 1 + self.backlog.share()
+
     def _reason_to_refuse(self, client: Client) -> str | None:
         is_behind = len(client.pending) > 1  # The command's own response is the last one.
         if self.is_past_stop_time or (self.is_refusing and is_behind):
@@ -175,6 +173,7 @@
     def on_closed(self, client: Client) -> None:
         """Release all that a closed connection held; only this method does so."""
         self.open.pop(client, None)
+        self.backlog.remove(client)
         self._remove_waiting(client)
         self.set_buffered(client, 0)
         self.descriptors.release()
@@ -371,6 +370,7 @@
         """Reject what is unread, fail the requests that are still open, and end all connections."""
         self.is_past_stop_time = True
         for client in list(self.open):
+            client.handle_commands(NO_LIMIT)
             if client.state < ConnectionState.REJECTED:
                 client.transport.doRead()
         for client in list(self.open):
--- a/linenbridge/process/components.py
+++ b/linenbridge/process/components.py
@@ -25,6 +25,7 @@
 from linenbridge.net.upstream import Instances
 from linenbridge.net.watch_stream import WatchStream
 from linenbridge.policy import DecisionModule
+from linenbridge.policy.command_admission import CommandAdmission
 from linenbridge.policy.connection_admission import ConnectionAdmission, stop_time
 from linenbridge.process.configuration import ProcessConfiguration, load
 from linenbridge.startup import micros, startup
@@ -152,6 +153,7 @@
         budgets.max_message_bytes,
         Descriptors(client_descriptors),
         ConnectionAdmission(client_descriptors, configuration.limits.sockets // CLIENT_POOL_DIVISOR),
+        CommandAdmission(),
         log,
     )
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -27,6 +27,7 @@
     "tests/scale/test_families.py": "scale",
     "tests/scale/test_full_tables.py": "scale",
     "tests/scale/test_measure.py": "scale",
+    "tests/net/test_command_backlog.py": "gateway",
     "tests/net/test_crossings.py": "gateway",
     "tests/net/test_ends.py": "gateway",
     "tests/net/test_process.py": "gateway",
--- a/tests/net/bench.py
+++ b/tests/net/bench.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from linenbridge.policy import DecisionModule
+from linenbridge.policy.command_admission import CommandAdmission
 from linenbridge.policy.connection_admission import ConnectionAdmission, stop_time
 from linenbridge.net import resp
 from linenbridge.net.downstream import Clients
@@ -78,6 +79,12 @@
     def undelivered(self) -> int:
         return self.undelivered_bytes
 
+    def hold_reading(self) -> None:
+        self.pauseProducing()
+
+    def release_reading(self) -> None:
+        self.resumeProducing()
+
     def send_last(self, data: bytes) -> None:
         """Send the last data; the peer closes at once when it receives the end, unless `keeps_open`."""
         self.write(data)
@@ -167,6 +174,7 @@
             100_000,
             Descriptors(descriptors),
             ConnectionAdmission(descriptors, pool),
+            CommandAdmission(),
             self.log,
         )
         address = ("10.0.0.9", 80)
