--- a/linenbridge/net/client_transport.py
+++ b/linenbridge/net/client_transport.py
@@ -17,8 +17,6 @@
 
 from linenbridge.net import sockets
 
-READ_SIZE = 1 << 14  # bytes; of one read, which are kept until their commands have been handled
-
 
 class ClientTransport(tcp.Server):
     """An accepted socket.
@@ -27,7 +25,6 @@
     stream. A reset would look like the end of a command that has been read.
     """
 
-    bufferSize = READ_SIZE  # noqa: N815  # Twisted's name
     is_read_held = False
 
     def hold_reading(self) -> None:
