--- a/linenbridge/policy/decision_module.py
+++ b/linenbridge/policy/decision_module.py
@@ -151,6 +151,7 @@
         builds = self.fleet.ready_by_build
         if builds:
             self.rollout.on_listed(builds)
+            self.affinity.on_ready_builds(min(builds))
             self._observe_build(max(builds))
 
     def on_endpoint_list_failed(self, now: int) -> None:
@@ -251,6 +252,8 @@
         if self.rollout.update(build, stage, phase, cap):
             self.log.rollout(build, stage, phase, cap)
         self.affinity.on_rollout_update()
+        if self.fleet.ready_by_build:
+            self.affinity.on_ready_builds(min(self.fleet.ready_by_build))
         self.exposure.on_caps_changed()
         self.voter.on_rollout_update()
         self._observe_build(build)
--- a/linenbridge/state/rollout.py
+++ b/linenbridge/state/rollout.py
@@ -55,30 +55,52 @@
 
 
 class KeyAffinity:
-    """The lowest build that each key's requests may go to, if `forward_only` rules out earlier builds."""
+    """The lowest build that each key's requests may go to, if `forward_only` rules out earlier builds.
+
+    Keys are kept by their hash, so that long ones take no more memory; two keys with one hash are restricted
+    together. Once no earlier build is ready, one build is kept for all keys in place of one for each.
+    """
 
     def __init__(self, rollout: RolloutState, forward_only: bool) -> None:
         self.rollout = rollout
         self.forward_only = forward_only
-        self.min_builds: dict[Id, int] = {}
+        self.min_builds: dict[int, int] = {}  # by the hash of the key
+        self.min_build_of_all = 0  # 0 allows all builds
 
     def on_response(self, key: Id | None, build: int) -> None:
         """Record that a build has answered a request with this key."""
-        if not self.forward_only or key is None:
+        if not self.forward_only or key is None or build <= self.min_build_of_all:
             return
-        if build >= self.rollout.build and build not in self.rollout.withdrawn:
-            self.min_builds[key] = max(build, self.min_builds.get(key, 0))
+        if self._is_in_effect(build):
+            hashed = hash(key)
+            self.min_builds[hashed] = max(build, self.min_builds.get(hashed, 0))
 
     def on_rollout_update(self) -> None:
         """Forget the keys whose build is withdrawn or lower than the reported one."""
+        if not self._is_in_effect(self.min_build_of_all):
+            self.min_build_of_all = 0
         self.min_builds = {
-            key: build
-            for key, build in self.min_builds.items()
-            if build >= self.rollout.build and build not in self.rollout.withdrawn
+            hashed: build for hashed, build in self.min_builds.items() if self._is_in_effect(build)
         }
 
+    def on_ready_builds(self, lowest: int) -> None:
+        """Restrict all keys to a released build once no earlier one is ready; `lowest` is the lowest ready.
+
+        Which keys it has answered then makes no difference, and need not be kept.
+        """
+        build = self.rollout.build
+        if not self.forward_only or self.rollout.phase != RolloutPhase.RELEASED or lowest < build:
+            return
+        if build != self.min_build_of_all:
+            self.min_build_of_all = build
+            self.min_builds = {hashed: kept for hashed, kept in self.min_builds.items() if kept > build}
+
     def min_build(self, key: Id | None) -> int:
         """Return the lowest build that a request with this key may go to; 0 allows all builds."""
         if not self.forward_only or key is None:
             return 0
-        return self.min_builds.get(key, 0)
+        return max(self.min_build_of_all, self.min_builds.get(hash(key), 0))
+
+    def _is_in_effect(self, build: int) -> bool:
+        """Return whether keys that a build has answered may not go to an earlier one."""
+        return build >= self.rollout.build and build not in self.rollout.withdrawn
